--- /dev/null
+++ b/src/cli/program.ts
@@ -0,0 +1,58 @@
+import { Command } from 'commander';
+import { SettingsError } from '../config/load.js';
+import { loadPlatform, type Platform } from '../config/platform.js';
+import { loadTuning } from '../config/tuning.js';
+import type { Tuning } from '../core/settings.js';
+import { VERSION } from '../version.js';
+
+const DEFAULT_TUNING = 'deploy/tuning.toml';
+
+interface Files {
+  config?: string;
+  tuning: string;
+}
+
+function load(files: Files): { platform: Platform; tuning: Tuning } {
+  if (!files.config) throw new SettingsError('--config FILE is required');
+  return { platform: loadPlatform(files.config), tuning: loadTuning(files.tuning) };
+}
+
+/** Runs `action`; a settings problem ends the program with one line and exit code 2. */
+function checked(action: () => void): void {
+  try {
+    action();
+  } catch (e) {
+    if (!(e instanceof SettingsError)) throw e;
+    process.stderr.write(`magpielift: ${e.message}\n`);
+    process.exitCode = 2;
+  }
+}
+
+const withFiles = (c: Command): Command =>
+  c
+    .option('--config <file>', "the platform's settings (TOML)")
+    .option('--tuning <file>', "the operators' own tuning (TOML)", DEFAULT_TUNING);
+
+/** The command line. `serve` is what runs without a command; a console would become one more command here. */
+export function makeProgram(serve: (platform: Platform, tuning: Tuning) => void): Command {
+  const program = withFiles(new Command('magpielift'))
+    .description('a small cluster scheduler: runs a controller node until it is killed')
+    .version(VERSION)
+    .enablePositionalOptions()
+    .exitOverride((e) => process.exit(e.exitCode === 0 ? 0 : 2))
+    .action((files: Files) =>
+      checked(() => {
+        const { platform, tuning } = load(files);
+        serve(platform, tuning);
+      }),
+    );
+  withFiles(program.command('check'))
+    .description('check the settings files and end')
+    .action((files: Files) =>
+      checked(() => {
+        const { platform } = load(files);
+        process.stdout.write(`settings are good: node ${platform.settings.node}, ${platform.settings.nodes} nodes\n`);
+      }),
+    );
+  return program;
+}
--- /dev/null
+++ b/src/config/platform.ts
@@ -0,0 +1,90 @@
+import * as v from 'valibot';
+import type { Settings } from '../core/settings.js';
+import type { NodeName, TeamName, ZoneName } from '../core/types.js';
+import { address, count, loadToml, name, notNegative, positive } from './load.js';
+
+const team = v.object({
+  name,
+  cpus: v.optional(notNegative, 0),
+  cpus_max: v.optional(notNegative, 0),
+  gpus: v.optional(notNegative, 0),
+  gpus_max: v.optional(notNegative, 0),
+});
+
+const schema = v.object({
+  host_name: name,
+  area: name,
+  listen: address,
+  peer_bind: address,
+  siblings: v.optional(v.array(v.object({ host_name: name, area: name, address })), []),
+  endpoints: v.object({ cloud: address, state: address }),
+  deployment: v.object({
+    initial_size: v.optional(count, 1),
+    zones: v.pipe(v.array(name), v.minLength(1)),
+    skew_ms: v.optional(notNegative, 0),
+    teams: v.array(team),
+    workers: v.object({
+      report_s: positive,
+      lease_s: positive,
+      gang_wait_s: positive,
+      gang_peer_s: positive,
+      cancel_s: positive,
+    }),
+    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count }),
+    cloud: v.object({ rps: positive, list_lag_s: notNegative }),
+    machine_limits: v.object({ cpu_share: positive, memory_mb: positive, max_connections: count }),
+  }),
+});
+
+/** The platform's file: what the core needs, and what only the sockets need. */
+export interface Platform {
+  readonly settings: Settings;
+  readonly listen: string;
+  readonly peerListen: string;
+  readonly peers: readonly { readonly name: NodeName; readonly addr: string }[];
+  readonly cloudAddr: string;
+  readonly storeAddr: string;
+  readonly maxConnections: number;
+}
+
+export function loadPlatform(file: string): Platform {
+  const raw = loadToml(file, schema);
+  const d = raw.deployment;
+  return {
+    listen: raw.listen,
+    peerListen: raw.peer_bind,
+    peers: raw.siblings.map((s) => ({ name: s.host_name as NodeName, addr: s.address })),
+    cloudAddr: raw.endpoints.cloud,
+    storeAddr: raw.endpoints.state,
+    maxConnections: d.machine_limits.max_connections,
+    settings: {
+      node: raw.host_name as NodeName,
+      zone: raw.area as ZoneName,
+      peers: raw.siblings.map((s) => ({ name: s.host_name as NodeName, zone: s.area as ZoneName })),
+      nodes: Math.max(d.initial_size, raw.siblings.length + 1),
+      zones: d.zones as ZoneName[],
+      skewMs: d.skew_ms,
+      teams: d.teams.map((t) => ({
+        name: t.name as TeamName,
+        cpus: t.cpus,
+        gpus: t.gpus,
+        cpusMax: t.cpus_max,
+        gpusMax: t.gpus_max,
+      })),
+      workers: {
+        reportMs: d.workers.report_s * 1000,
+        leaseMs: d.workers.lease_s * 1000,
+        gangWaitMs: d.workers.gang_wait_s * 1000,
+        gangPeerMs: d.workers.gang_peer_s * 1000,
+        cancelMs: d.workers.cancel_s * 1000,
+      },
+      store: {
+        rps: d.state.rps,
+        writeRps: d.state.write_rps,
+        valueBytes: d.state.value_kb * 1024,
+        txnOps: d.state.txn_ops,
+      },
+      cloud: { rps: d.cloud.rps, listLagMs: d.cloud.list_lag_s * 1000 },
+    },
+  };
+}
--- /dev/null
+++ b/src/core/autoscaler.ts
@@ -0,0 +1,363 @@
+import type { Cluster } from './cluster.js';
+import { Machine } from './fleet.js';
+import type { RoundResult } from './scheduler/round.js';
+import type { PlanJob } from './scheduler/planner.js';
+import {
+  type ListedMachine,
+  type MachineId,
+  type MachineType,
+  type Steady,
+  steadyPlus,
+  type TypeName,
+  type ZoneName,
+} from './types.js';
+
+interface Kind {
+  readonly type: MachineType;
+  readonly zone: ZoneName;
+  readonly spot: boolean;
+}
+
+interface Rental {
+  readonly kind: Kind;
+  readonly request: string;
+  readonly count: number;
+  readonly since: Steady;
+}
+
+const kindKey = (type: TypeName, zone: ZoneName, spot: boolean): string => `${type}|${zone}|${spot}`;
+const RENT_AT_ONCE = 8;
+
+/** Rents for planned need, returns what stands idle, and keeps the list of machines true. */
+export class Autoscaler {
+  private readonly rentals = new Map<string, Rental>();
+  private readonly refusedUntil = new Map<string, { until: Steady; times: number }>();
+  private requests = 0;
+  private listing = false;
+  private lastListAt = 0 as Steady;
+  private listedOnce = false;
+  private lastWorkAt: Steady;
+
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly adopt: (m: Machine) => void,
+    private readonly dropRecord: (id: MachineId) => void,
+  ) {
+    this.lastWorkAt = cluster.ctx.now.steady;
+  }
+
+  private get now(): Steady {
+    return this.cluster.ctx.now.steady;
+  }
+
+  // ---- the cloud's list
+
+  list(): void {
+    if (this.listing) return;
+    this.listing = true;
+    this.page(null, []);
+  }
+
+  private page(after: MachineId | null, before: ListedMachine[]): void {
+    this.cluster.ctx.cloud({ op: 'list', after }, 2, (r) => {
+      if (!r.ok) {
+        this.listing = false;
+        return;
+      }
+      const all = [...before, ...(r.value.machines ?? [])];
+      const last = all[all.length - 1];
+      if (r.value.more && last && all.length < 20_000) return this.page(last.id, all);
+      this.listing = false;
+      this.listedOnce = true;
+      this.lastListAt = this.now;
+      this.takeList(all);
+    });
+  }
+
+  private takeList(listed: readonly ListedMachine[]): void {
+    for (const l of listed) {
+      let m = this.cluster.machines.get(l.id);
+      if (!m) {
+        if (this.cluster.gone.has(l.id)) continue;
+        const type = this.cluster.types.get(l.type);
+        if (!type) continue;
+        // Rented by an earlier leader, or by a request carried out late: taken into use like any other.
+        m = new Machine(l.id, type, l.zone, l.spot, l.addr, true, 'booting', this.now);
+        this.cluster.machines.set(l.id, m);
+        this.cluster.ctx.log('info', 'machine found in the list', { machine: l.id, phase: l.phase });
+      }
+      if (l.addr && !m.addr) m.addr = l.addr;
+      m.lastListedAt = this.now;
+      const rented = (this.now - l.ageS * 1000) as Steady;
+      if (rented < m.rentedAt) m.rentedAt = rented;
+      if (l.phase === 'failed' && !m.deleting) {
+        this.cluster.ctx.log('info', 'machine failed', { machine: m.id, tasks: m.placements.size });
+        // A failed machine has stopped by itself: nothing is on it any more.
+        this.cluster.releaseAll(m);
+        m.accounted = true;
+        this.cluster.countUnaccounted();
+        this.remove(m, 'failed');
+      }
+    }
+  }
+
+  // ---- returning
+
+  remove(m: Machine, why: string): void {
+    if (m.deleting) return;
+    m.deleting = true;
+    m.returning = true;
+    m.draining ??= why;
+    this.cluster.ctx.log('info', 'returning machine', { machine: m.id, type: m.typeName, why });
+    this.sendDelete(m);
+  }
+
+  private sendDelete(m: Machine): void {
+    this.cluster.ctx.cloud({ op: 'delete', machines: [m.id] }, 1, (r) => {
+      if (this.cluster.machines.get(m.id) !== m) return;
+      if (!r.ok) {
+        m.deleting = false;
+        return;
+      }
+      this.cluster.forgetMachine(m);
+      if (m.registered || m.registering) this.dropRecord(m.id);
+      this.cluster.ctx.timers.set('round', this.now);
+    });
+  }
+
+  /** Machines that should go: idle, stuck, silent, or out of use and empty. */
+  tend(leaderSince: Steady): void {
+    const { tuning, settings } = this.cluster.ctx;
+    const now = this.now;
+    if (!this.listing && now - this.lastListAt > 4000) this.list();
+    let heard = 0;
+    let up = 0;
+    for (const m of this.cluster.machines.values()) {
+      if (m.phase !== 'up') continue;
+      up += 1;
+      if (now - m.lastHeardAt < 2.5 * settings.workers.reportMs) heard += 1;
+    }
+    // If most workers are silent, it is we who are cut off.
+    const hearing = heard * 2 >= up && now - leaderSince > 3 * settings.workers.reportMs;
+    for (const m of [...this.cluster.machines.values()]) {
+      if (m.deleting) continue;
+      if (m.draining !== null) {
+        if (m.placements.size === 0 || m.returning) this.remove(m, m.draining);
+        continue;
+      }
+      if (m.noticeUntil !== null && m.placements.size === 0) {
+        this.remove(m, 'taken by the cloud');
+        continue;
+      }
+      const silent = now - m.lastHeardAt;
+      if (m.phase === 'booting') {
+        const age = (now - m.rentedAt) / 1000;
+        if (age > Math.max(30, m.type.bootS * tuning.machines.boot_give_up)) this.remove(m, 'never came up');
+      } else if (hearing && m.spot && m.noticeUntil !== null && silent > 2.5 * settings.workers.reportMs) {
+        this.remove(m, 'taken by the cloud');
+      } else if (hearing && m.spot && silent > 4 * settings.workers.reportMs) {
+        // Deleting it proves it empty sooner than its lease would.
+        this.remove(m, 'silent');
+      } else if (hearing && silent > settings.workers.leaseMs + 15_000) this.remove(m, 'silent');
+      else if (m.placements.size === 0 && m.exited.length === 0 && this.surplus(m)) this.remove(m, 'idle');
+    }
+  }
+
+  private surplus(m: Machine): boolean {
+    const { tuning } = this.cluster.ctx;
+    const idleS = (this.now - Math.max(m.idleSince, m.firstHeardAt ?? m.idleSince)) / 1000;
+    // It has been charged for a minute whatever happens.
+    if (idleS < tuning.machines.idle_return_s || (this.now - m.rentedAt) / 1000 < 55) return false;
+    const short = this.guaranteeShort();
+    return short.gpus < -m.type.gpus + 0.5 && short.cpus < -m.type.cpus + 0.5;
+  }
+
+  /** What the teams' guarantees ask for beyond what is there; negative: to spare. */
+  private guaranteeShort(): { cpus: number; gpus: number } {
+    let cpus = 0;
+    let gpus = 0;
+    if (this.cluster.ctx.tuning.machines.keep_guarantees && this.now - this.lastWorkAt < 300_000) {
+      for (const t of this.cluster.quotas.all()) {
+        cpus += t.cpus;
+        gpus += t.gpus;
+      }
+    }
+    const any = { cpus: cpus > 0, gpus: gpus > 0 };
+    const add = (t: MachineType, n: number): void => {
+      cpus -= t.cpus * n;
+      gpus -= t.gpus * n;
+    };
+    for (const m of this.cluster.machines.values()) if (m.draining === null && !m.deleting) add(m.type, 1);
+    for (const r of this.rentals.values()) add(r.kind.type, r.count);
+    const NONE = Number.NEGATIVE_INFINITY;
+    return { cpus: any.cpus ? cpus : NONE, gpus: any.gpus ? gpus : NONE };
+  }
+
+  // ---- renting
+
+  /** Rents what would start waiting work sooner than the plan can. */
+  consider(round: RoundResult): void {
+    if (this.cluster.active.size > 0) this.lastWorkAt = this.now;
+    if (!this.listedOnce) return;
+    const need = new Map<string, { kind: Kind; machines: number }>();
+    for (const { job, tasks } of this.lateTasks(round)) {
+      const kind = this.cheapest(job, tasks);
+      if (!kind) continue;
+      const key = kindKey(kind.type.name, kind.zone, kind.spot);
+      const entry = need.get(key) ?? { kind, machines: 0 };
+      entry.machines += this.machinesFor(job, kind.type, tasks);
+      need.set(key, entry);
+    }
+    for (const { kind, machines } of need.values()) {
+      const n = Math.floor(machines + this.cluster.ctx.tuning.machines.rent_round_up) - this.beingRented(kind);
+      if (n > 0) this.rent(kind, Math.min(n, RENT_AT_ONCE));
+    }
+    this.fillGuarantees();
+  }
+
+  private beingRented(kind: Kind): number {
+    let n = 0;
+    for (const r of this.rentals.values()) if (r.kind.type === kind.type) n += r.count;
+    return n;
+  }
+
+  private lateTasks(round: RoundResult): { job: PlanJob; tasks: number }[] {
+    const margin = this.cluster.ctx.tuning.machines.rent_margin_s;
+    const late = new Map<number, number>();
+    const add = (slot: number, n: number): void => {
+      late.set(slot, (late.get(slot) ?? 0) + n);
+    };
+    for (const s of round.plan.starts) {
+      const job = round.planJobs[s.job] as PlanJob;
+      let soonest = Number.POSITIVE_INFINITY;
+      for (const t of this.cluster.types.values()) {
+        if (!canRun(job, t)) continue;
+        soonest = Math.min(soonest, t.bootS + job.imageGb / Math.max(0.01, t.fetchGbPerS));
+      }
+      if (s.startAtS > soonest + margin) add(s.job, s.tasks);
+    }
+    for (const [slot, n] of round.plan.unplaced) add(slot, n);
+    return [...late].map(([slot, tasks]) => ({ job: round.planJobs[slot] as PlanJob, tasks }));
+  }
+
+  private machinesFor(job: PlanJob, type: MachineType, tasks: number): number {
+    const each = slots(job, type);
+    if (job.gang) return tasks / each;
+    const horizon = this.cluster.ctx.tuning.machines.rent_horizon_s;
+    return tasks / (each * Math.max(1, horizon / Math.max(1, job.durationS)));
+  }
+
+  /** The type, zone and kind that takes the job's tasks at the lowest price a task, among those not lately refused. */
+  private cheapest(job: PlanJob, tasks: number): Kind | null {
+    let best: Kind | null = null;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const type of this.cluster.types.values()) {
+      if (!canRun(job, type)) continue;
+      const used = Math.min(tasks, slots(job, type));
+      for (const zone of type.zones) {
+        if (!job.zones.includes(zone) && this.zoneBound(job)) continue;
+        for (const spot of job.spotOk ? [true, false] : [false]) {
+          const blocked = this.refusedUntil.get(kindKey(type.name, zone, spot));
+          if (blocked && blocked.until > this.now) continue;
+          const price = spot ? type.spotPrice * 1.1 : type.price;
+          const cost = (price / used) * (1 + 0.01 * this.countIn(zone, type));
+          if (cost < bestCost) {
+            bestCost = cost;
+            best = { type, zone, spot };
+          }
+        }
+      }
+    }
+    return best;
+  }
+
+  private zoneBound(job: PlanJob): boolean {
+    return job.sameZone && job.zones.length === 1;
+  }
+
+  private countIn(zone: ZoneName, type: MachineType): number {
+    let n = 0;
+    for (const m of this.cluster.machines.values()) if (m.zone === zone && m.type === type) n += 1;
+    for (const r of this.rentals.values()) if (r.kind.zone === zone && r.kind.type === type) n += r.count;
+    return n;
+  }
+
+  /** Guaranteed teams need not wait for machines to boot: capacity for all guarantees is kept while there is work. */
+  private fillGuarantees(): void {
+    const short = this.guaranteeShort();
+    if (short.gpus < 0.5 && short.cpus < 0.5) return;
+    if (this.rentals.size > 0) return;
+    const kinds: { kind: Kind; cost: number }[] = [];
+    for (const type of this.cluster.types.values()) {
+      const gain = short.gpus >= 0.5 ? type.gpus : type.cpus;
+      if (gain <= 0) continue;
+      for (const zone of type.zones) {
+        for (const spot of [false, true]) {
+          const blocked = this.refusedUntil.get(kindKey(type.name, zone, spot));
+          if (blocked && blocked.until > this.now) continue;
+          kinds.push({ kind: { type, zone, spot }, cost: type.price / gain + (spot ? 1000 : 0) });
+        }
+      }
+    }
+    kinds.sort((a, b) => a.cost - b.cost);
+    const first = kinds[0]?.kind;
+    if (!first) return;
+    const missing = short.gpus >= 0.5 ? short.gpus / first.type.gpus : short.cpus / first.type.cpus;
+    this.rent(first, Math.min(Math.ceil(missing), RENT_AT_ONCE));
+  }
+
+  private rent(kind: Kind, count: number): void {
+    this.requests += 1;
+    // The term makes the name unique among all nodes; a name is never used for a second request.
+    const request = `r-${this.cluster.term}-${this.requests}`;
+    const rental: Rental = { kind, request, count, since: this.now };
+    this.rentals.set(request, rental);
+    this.sendRental(rental);
+  }
+
+  private sendRental(rental: Rental): void {
+    const { kind, request, count } = rental;
+    const { ctx } = this.cluster;
+    const op = { op: 'rent', request, type: kind.type.name, zone: kind.zone, spot: kind.spot, count } as const;
+    ctx.cloud(op, 1, (r) => {
+      const key = kindKey(kind.type.name, kind.zone, kind.spot);
+      if (!r.ok) {
+        if (r.why === 'unknown' && this.now - rental.since < 20_000) return this.sendRental(rental);
+        this.rentals.delete(request);
+        if (r.why === 'no_capacity') this.noteRefusal(key);
+        return;
+      }
+      this.rentals.delete(request);
+      const ids = r.value.rented ?? [];
+      if (ids.length < count) this.noteRefusal(key);
+      else this.refusedUntil.delete(key);
+      ctx.log('info', 'rented', { type: kind.type.name, zone: kind.zone, spot: kind.spot, asked: count, got: ids.length });
+      for (const id of ids) {
+        if (this.cluster.machines.has(id) || this.cluster.gone.has(id)) continue;
+        const m = new Machine(id, kind.type, kind.zone, kind.spot, '', true, 'booting', rental.since);
+        this.cluster.machines.set(id, m);
+        this.adopt(m);
+      }
+    });
+  }
+
+  private noteRefusal(key: string): void {
+    const before = this.refusedUntil.get(key);
+    const times = Math.min(4, (before?.times ?? 0) + 1);
+    const ms = this.cluster.ctx.tuning.machines.refused_backoff_s * 1000 * 1.5 ** (times - 1);
+    this.refusedUntil.set(key, { until: steadyPlus(this.now, ms), times });
+  }
+}
+
+function canRun(job: PlanJob, t: MachineType): boolean {
+  return slots(job, t) >= 1 && (job.types === null || job.types.includes(t.name));
+}
+
+/** How many of the job's tasks one machine of the type takes at once. */
+function slots(job: PlanJob, t: MachineType): number {
+  let n = Number.POSITIVE_INFINITY;
+  if (job.cpus > 0) n = Math.min(n, Math.floor(t.cpus / job.cpus + 1e-6));
+  if (job.gpus > 0) n = Math.min(n, Math.floor(t.gpus / job.gpus + 1e-6));
+  if (job.memGb > 0) n = Math.min(n, Math.floor(t.memGb / job.memGb + 1e-6));
+  return Number.isFinite(n) ? n : 1000;
+}
--- /dev/null
+++ b/src/core/cluster.ts
@@ -0,0 +1,164 @@
+import type { Context } from './context.js';
+import { Estimates } from './estimates.js';
+import { type Machine, taskKey } from './fleet.js';
+import { Job, type Placement, type PlacementPhase } from './jobs.js';
+import { Quotas } from './quotas.js';
+import type { JobRecord } from './records.js';
+import type { Attempt, JobId, MachineId, MachineType, Revision, TypeName } from './types.js';
+
+/** What the leader knows: jobs, machines, and which task may be on which machine. */
+export class Cluster {
+  readonly jobs = new Map<JobId, Job>();
+  /** Jobs that still need attention: not over, or over with tasks left on machines. */
+  readonly active = new Set<Job>();
+  readonly machines = new Map<MachineId, Machine>();
+  /** Machines proven gone in this term: a late report of theirs brings nothing back. */
+  readonly gone = new Set<MachineId>();
+  readonly quotas: Quotas;
+  readonly estimates = new Estimates();
+  types: ReadonlyMap<TypeName, MachineType> = new Map();
+  private attempts = 0n;
+
+  constructor(
+    readonly ctx: Context,
+    readonly term: number,
+  ) {
+    this.quotas = new Quotas(ctx.settings.teams);
+  }
+
+  /** Higher than any attempt of an earlier term, and than any earlier one of this term. */
+  nextAttempt(): Attempt {
+    this.attempts += 1n;
+    return ((BigInt(this.term) << 24n) + this.attempts) as Attempt;
+  }
+
+  learnJob(record: JobRecord, version: Revision): Job {
+    const known = this.jobs.get(record.spec.id);
+    if (known) {
+      const before = known.state;
+      known.merge(record, version);
+      if (known.state !== before) this.onJobOver(known);
+      return known;
+    }
+    const job = new Job(record, version);
+    this.jobs.set(job.id, job);
+    if (job.state === 'accepted') this.active.add(job);
+    return job;
+  }
+
+  /** A job is done or cancelled: what is only planned goes, what may be there is stopped. */
+  onJobOver(job: Job): void {
+    for (const p of [...job.placements.values()]) {
+      if (p.phase === 'planned') this.release(p);
+      else if (job.state === 'cancelled') this.stop(p, 0);
+    }
+    this.settle(job);
+  }
+
+  private settle(job: Job): void {
+    if (job.state !== 'accepted' && job.placements.size === 0 && job.needsWrite === 'no') this.active.delete(job);
+  }
+
+  place(job: Job, index: number, machine: Machine, attempt: Attempt, phase: PlacementPhase): Placement {
+    const now = this.ctx.now.steady;
+    const p: Placement = {
+      job,
+      index,
+      machine,
+      attempt,
+      phase,
+      sentSeq: null,
+      since: now,
+      runningSince: phase === 'running' ? now : null,
+      stop: null,
+    };
+    job.placements.set(index, p);
+    machine.add(p);
+    this.quotas.add(job.spec, 1);
+    this.active.add(job);
+    return p;
+  }
+
+  /** The task is proven not to be on the machine (any more). */
+  release(p: Placement): void {
+    const { job, machine } = p;
+    if (job.placements.get(p.index) !== p) return;
+    job.placements.delete(p.index);
+    machine.remove(p, this.ctx.now.steady);
+    this.quotas.add(job.spec, -1);
+    job.freed(p.index);
+    if (job.spec.shape === 'gang' && job.state === 'accepted') {
+      if (job.placements.size > 0) this.breakGang(job);
+      else job.broken = false;
+    }
+    this.settle(job);
+  }
+
+  releaseAll(machine: Machine): void {
+    for (const p of [...machine.placements.values()]) this.release(p);
+    machine.exited = [];
+  }
+
+  /** One task of a gang is lost: the others of its attempt have nothing to wait for. */
+  breakGang(job: Job): void {
+    if (job.broken) return;
+    job.broken = true;
+    for (const p of [...job.placements.values()]) {
+      if (p.phase === 'planned') this.release(p);
+      else this.stop(p, 0);
+    }
+    if (job.placements.size === 0) job.broken = false;
+  }
+
+  stop(p: Placement, graceS: number): void {
+    if (p.stop && p.stop.graceS <= graceS) return;
+    p.stop = { graceS, since: this.ctx.now.steady };
+    this.ctx.timers.set('direct', this.ctx.now.steady);
+  }
+
+  /** Stops a task so that its work is saved where it can be; a gang is stopped as a whole. */
+  stopSaving(p: Placement): void {
+    const { job } = p;
+    const grace = job.spec.checkpointS > 0 ? job.spec.saveS * 1.5 + 1 : 0;
+    const group = job.spec.shape === 'gang' ? [...job.placements.values()] : [p];
+    if (job.spec.shape === 'gang') job.broken = true;
+    for (const member of group) {
+      if (member.phase === 'planned') this.release(member);
+      else this.stop(member, grace);
+    }
+  }
+
+  findPlacement(machine: Machine, job: JobId, index: number): Placement | undefined {
+    return machine.placements.get(taskKey(job, index));
+  }
+
+  forgetMachine(machine: Machine): void {
+    this.releaseAll(machine);
+    this.machines.delete(machine.id);
+    this.gone.add(machine.id);
+    this.countUnaccounted();
+  }
+
+  /** Machines that may hold anybody's tasks count in full against every limited team. */
+  countUnaccounted(): number {
+    let n = 0;
+    let cpus = 0;
+    let gpus = 0;
+    for (const m of this.machines.values()) {
+      if (m.accounted) continue;
+      n += 1;
+      cpus += m.type.cpus;
+      gpus += m.type.gpus;
+    }
+    this.quotas.unaccounted = { cpus, gpus };
+    return n;
+  }
+
+  /**
+   * Whether tasks of the job may be on a machine that has not shown us its list: then nothing of it may be started,
+   * here or in another zone.
+   */
+  blocked(job: Job, unaccounted: number): boolean {
+    return unaccounted > 0 && job.startTerm > 0 && job.startTerm < this.term;
+  }
+}
--- /dev/null
+++ b/src/core/context.ts
@@ -0,0 +1,173 @@
+import { CallQueue, type CallPriority, TokenBucket } from './buckets.js';
+import type {
+  CallId,
+  CloudOp,
+  CloudValue,
+  LogLevel,
+  Output,
+  PeerMessage,
+  RequestId,
+  Result,
+  StoreOp,
+  StoreValue,
+  UserAnswer,
+  WorkerAnswer,
+  WorkerOp,
+  WorkerValue,
+} from './messages.js';
+import type { Settings, Tuning } from './settings.js';
+import { Timers } from './timers.js';
+import { type NodeName, type Now, type Steady, steadyPlus } from './types.js';
+
+export type TimerName =
+  | 'election'
+  | 'renew'
+  | 'status'
+  | 'watch'
+  | 'round'
+  | 'flush'
+  | 'held'
+  | 'fleet'
+  | 'catalog'
+  | 'direct'
+  | 'load'
+  | 'store'
+  | 'cloud'
+  | 'desk';
+
+type Reply<T> = (result: Result<T>) => void;
+
+const REFUSED = { ok: false, why: 'refused' } as const;
+
+/** The step in progress: the time, the outputs gathered, and the calls still without an answer. */
+export class Context {
+  now: Now = { steady: 0 as Steady, wall: 0 as Now['wall'] };
+  outputs: Output[] = [];
+  readonly timers = new Timers<TimerName>();
+  /** When the state service last answered this node with anything but a refusal. */
+  storeOkAt: Steady;
+  storeFailingSince: Steady | null = null;
+
+  private lastCall: CallId = 0;
+  private readonly storeCalls = new Map<CallId, Reply<StoreValue>>();
+  private readonly cloudCalls = new Map<CallId, Reply<CloudValue>>();
+  private readonly workerCalls = new Map<CallId, Reply<WorkerValue>>();
+  private readonly storeQueue: CallQueue<StoreOp>;
+  private readonly cloudQueue: CallQueue<CloudOp>;
+
+  constructor(
+    readonly settings: Settings,
+    readonly tuning: Tuning,
+    start: Now,
+  ) {
+    this.now = start;
+    this.storeOkAt = start.steady;
+    // The nodes share the service's limits without talking about it: each keeps to somewhat over an equal part,
+    // and a refusal makes it pause.
+    const part = Math.min(1, 1.5 / settings.nodes);
+    const s = settings.store;
+    this.storeQueue = new CallQueue(
+      new TokenBucket(s.rps * part, s.rps * part, start.steady),
+      new TokenBucket(s.writeRps * part, Math.max(s.txnOps, s.writeRps * part), start.steady),
+    );
+    this.cloudQueue = new CallQueue(new TokenBucket(settings.cloud.rps * 0.8, settings.cloud.rps, start.steady), null);
+  }
+
+  log(level: LogLevel, text: string, fields: Record<string, unknown> = {}): void {
+    this.outputs.push({ kind: 'log', level, text, fields });
+  }
+
+  store(
+    op: StoreOp,
+    priority: CallPriority,
+    reply: Reply<StoreValue>,
+    timeoutMs = 1500,
+    waitAtMostMs = 3000,
+    onSend?: (at: Steady) => void,
+  ): void {
+    this.storeQueue.add(priority, {
+      op,
+      cost: 1,
+      writes: op.op === 'txn' ? op.changes.length : 0,
+      expires: steadyPlus(this.now.steady, waitAtMostMs),
+      send: () => {
+        const call = ++this.lastCall;
+        this.storeCalls.set(call, reply);
+        onSend?.(this.now.steady);
+        this.outputs.push({ kind: 'store', call, op, timeoutMs });
+      },
+      giveUp: () => reply(REFUSED),
+    });
+  }
+
+  cloud(op: CloudOp, priority: CallPriority, reply: Reply<CloudValue>, waitAtMostMs = 5000): void {
+    this.cloudQueue.add(priority, {
+      op,
+      cost: 1,
+      writes: 0,
+      expires: steadyPlus(this.now.steady, waitAtMostMs),
+      send: () => {
+        const call = ++this.lastCall;
+        this.cloudCalls.set(call, reply);
+        this.outputs.push({ kind: 'cloud', call, op });
+      },
+      giveUp: () => reply(REFUSED),
+    });
+  }
+
+  worker(op: WorkerOp, reply: Reply<WorkerValue>): void {
+    const call = ++this.lastCall;
+    this.workerCalls.set(call, reply);
+    this.outputs.push({ kind: 'worker', call, op });
+  }
+
+  peer(to: NodeName, message: PeerMessage): void {
+    this.outputs.push({ kind: 'peer', to, message });
+  }
+
+  answerUser(req: RequestId, answer: UserAnswer): void {
+    this.outputs.push({ kind: 'answerUser', req, answer });
+  }
+
+  answerWorker(req: RequestId, answer: WorkerAnswer): void {
+    this.outputs.push({ kind: 'answerWorker', req, answer });
+  }
+
+  onStoreReply(call: CallId, result: Result<StoreValue>): void {
+    const reply = this.storeCalls.get(call);
+    if (!reply) return;
+    this.storeCalls.delete(call);
+    if (result.ok || (result.why !== 'refused' && result.why !== 'unknown')) {
+      this.storeOkAt = this.now.steady;
+      this.storeFailingSince = null;
+    } else {
+      this.storeFailingSince ??= this.now.steady;
+      if (result.why === 'refused') this.storeQueue.pause(steadyPlus(this.now.steady, 100));
+    }
+    reply(result);
+  }
+
+  onCloudReply(call: CallId, result: Result<CloudValue>): void {
+    const reply = this.cloudCalls.get(call);
+    if (!reply) return;
+    this.cloudCalls.delete(call);
+    reply(result);
+  }
+
+  onWorkerReply(call: CallId, result: Result<WorkerValue>): void {
+    const reply = this.workerCalls.get(call);
+    if (!reply) return;
+    this.workerCalls.delete(call);
+    reply(result);
+  }
+
+  /** Lets queued calls out as far as the buckets allow. */
+  pump(): void {
+    const store = this.storeQueue.pump(this.now.steady);
+    if (store === null) this.timers.clear('store');
+    else this.timers.set('store', store);
+    const cloud = this.cloudQueue.pump(this.now.steady);
+    if (cloud === null) this.timers.clear('cloud');
+    else this.timers.set('cloud', cloud);
+  }
+}
--- /dev/null
+++ b/src/core/election.ts
@@ -0,0 +1,260 @@
+import type { Context } from './context.js';
+import { decodeLeader, LEADER_KEY, type LeaderRecord, TERM_KEY } from './records.js';
+import {
+  ABSENT,
+  type LeaseId,
+  type NodeName,
+  type Revision,
+  revision,
+  type Steady,
+  steadyPlus,
+  type Token,
+} from './types.js';
+
+/** Clocks of different machines drift apart by up to 0.05 %; both ends may be off. */
+export const DRIFT = 0.001;
+
+export interface Leadership {
+  readonly token: Token;
+  readonly term: number;
+  readonly lease: LeaseId;
+}
+
+export interface ElectionEvents {
+  onElected(leadership: Leadership): void;
+  onLost(): void;
+}
+
+/**
+ * One leader key on a state-service lease. Validity runs from when the last successful renewal was *sent*, on our own
+ * clock, less drift and margin, and callers ask for it at the moment of use: timers are late on a starved core.
+ */
+export class Election {
+  current: Leadership | null = null;
+  /** Who holds the key, as last seen. */
+  holder: LeaderRecord | null = null;
+  private validUntil = 0 as Steady;
+  private readonly ttlMs: number;
+  private seenRevision: Revision = ABSENT;
+  private busy = false;
+  private renewing = false;
+  private notBefore = 0 as Steady;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly incarnation: string,
+    private readonly events: ElectionEvents,
+  ) {
+    this.ttlMs = Math.round(ctx.settings.workers.leaseMs * ctx.tuning.leadership.lease_share);
+  }
+
+  /** True while no other node can hold the lead. */
+  valid(): boolean {
+    return this.current !== null && this.ctx.now.steady < this.validUntil;
+  }
+
+  holderName(): NodeName | null {
+    return this.holder ? (this.holder.node as NodeName) : null;
+  }
+
+  start(): void {
+    this.look();
+  }
+
+  onTimer(): void {
+    if (!this.busy && !this.current) this.look();
+  }
+
+  /** Gives the lead away at once, and stays away from it for a while. */
+  resign(why: string): void {
+    const held = this.current;
+    if (!held) return;
+    this.ctx.log('info', 'resigning the lead', { why, token: held.token });
+    this.drop();
+    this.notBefore = steadyPlus(this.ctx.now.steady, this.ctx.tuning.leadership.backoff_ms);
+    this.revoke(held.lease);
+    this.retry(500);
+  }
+
+  private drop(): void {
+    this.current = null;
+    this.validUntil = 0 as Steady;
+    this.ctx.timers.clear('renew');
+    this.events.onLost();
+  }
+
+  private retry(ms: number): void {
+    this.busy = false;
+    this.ctx.timers.set('election', steadyPlus(this.ctx.now.steady, ms));
+  }
+
+  private revoke(lease: LeaseId): void {
+    this.ctx.store({ op: 'revoke', lease }, 0, () => {});
+  }
+
+  private look(): void {
+    this.busy = true;
+    this.ctx.store({ op: 'get', key: LEADER_KEY }, 0, (r) => {
+      if (!r.ok) return this.retry(300);
+      const item = r.value.item ?? null;
+      if (r.value.revision !== undefined && r.value.revision > this.seenRevision) this.seenRevision = r.value.revision;
+      if (item === null) {
+        this.holder = null;
+        return this.mayStand();
+      }
+      if (item.version > this.seenRevision) this.seenRevision = item.version;
+      this.holder = decodeLeader(item.value);
+      if (
+        this.holder &&
+        this.holder.node === this.ctx.settings.node &&
+        this.holder.incarnation !== this.incarnation &&
+        /^\d+$/.test(this.holder.lease)
+      ) {
+        // Our own earlier process held it, and it can't run beside us: its lease can end now.
+        this.ctx.log('info', 'ending the lease of this node’s earlier process', {});
+        const lease = BigInt(this.holder.lease) as LeaseId;
+        return this.ctx.store({ op: 'revoke', lease }, 0, () => this.retry(10));
+      }
+      this.watch();
+    });
+  }
+
+  private watch(): void {
+    const waitMs = 5000;
+    this.ctx.store(
+      { op: 'watch', prefix: LEADER_KEY, after: this.seenRevision, waitMs },
+      0,
+      (r) => {
+        if (!r.ok) return this.retry(r.why === 'gone' ? 10 : 300);
+        if (r.value.revision !== undefined) this.seenRevision = r.value.revision;
+        this.retry(r.value.events?.length ? 1 : 50);
+      },
+      waitMs + 2000,
+    );
+  }
+
+  private mayStand(): void {
+    if (this.ctx.now.steady < this.notBefore) return this.retry(this.notBefore - this.ctx.now.steady);
+    this.ctx.store({ op: 'get', key: TERM_KEY }, 0, (r) => {
+      if (!r.ok) return this.retry(300);
+      const item = r.value.item ?? null;
+      const value = item?.value as { n?: unknown } | undefined;
+      const term = Number(value?.n ?? 0) + 1;
+      this.stand(term, item ? item.version : ABSENT);
+    });
+  }
+
+  private stand(term: number, termVersion: Revision): void {
+    let sentAt = this.ctx.now.steady;
+    this.ctx.store(
+      { op: 'grant', ttlMs: this.ttlMs },
+      0,
+      (g) => {
+        const lease = g.ok ? g.value.lease : undefined;
+        if (lease === undefined) return this.retry(300);
+        const record: LeaderRecord = {
+          node: this.ctx.settings.node,
+          incarnation: this.incarnation,
+          lease: String(lease),
+          term,
+        };
+        this.ctx.store(
+          {
+            op: 'txn',
+            conditions: [
+              { key: LEADER_KEY, version: ABSENT },
+              { key: TERM_KEY, version: termVersion },
+            ],
+            changes: [
+              { put: LEADER_KEY, value: record, lease },
+              { put: TERM_KEY, value: { n: term } },
+            ],
+          },
+          0,
+          (r) => {
+            if (r.ok && r.value.revision !== undefined) return this.won(r.value.revision, term, lease, sentAt);
+            if (!r.ok && r.why === 'unknown') return this.readBack(term, lease, sentAt);
+            this.revoke(lease);
+            this.retry(50);
+          },
+        );
+      },
+      1500,
+      3000,
+      (at) => {
+        sentAt = at;
+      },
+    );
+  }
+
+  /** The transaction may have been carried out: the key itself tells. */
+  private readBack(term: number, lease: LeaseId, sentAt: Steady): void {
+    this.ctx.store({ op: 'get', key: LEADER_KEY }, 0, (r) => {
+      const item = r.ok ? (r.value.item ?? null) : null;
+      const holder = item ? decodeLeader(item.value) : null;
+      if (item && holder && holder.lease === String(lease) && holder.incarnation === this.incarnation) {
+        return this.won(item.version, term, lease, sentAt);
+      }
+      this.revoke(lease);
+      this.retry(100);
+    });
+  }
+
+  private won(at: Revision, term: number, lease: LeaseId, sentAt: Steady): void {
+    this.busy = false;
+    this.renewing = false;
+    this.seenRevision = at;
+    this.current = { token: at as bigint as Token, term, lease };
+    this.holder = { node: this.ctx.settings.node, incarnation: this.incarnation, lease: String(lease), term };
+    this.extend(sentAt);
+    this.ctx.log('info', 'took the lead', { token: at, term });
+    this.scheduleRenewal(this.ttlMs / 4);
+    this.events.onElected(this.current);
+  }
+
+  private extend(sentAt: Steady): void {
+    const until = steadyPlus(sentAt, this.ttlMs * (1 - DRIFT) - this.ctx.tuning.leadership.margin_ms);
+    if (until > this.validUntil) this.validUntil = until;
+  }
+
+  private scheduleRenewal(ms: number): void {
+    this.ctx.timers.set('renew', steadyPlus(this.ctx.now.steady, ms));
+  }
+
+  renew(): void {
+    const held = this.current;
+    if (!held || this.renewing) return;
+    this.renewing = true;
+    let sentAt = this.ctx.now.steady;
+    this.ctx.store(
+      { op: 'renew', lease: held.lease },
+      0,
+      (r) => {
+        this.renewing = false;
+        if (this.current !== held) return;
+        if (r.ok) {
+          const lapsed = !this.valid();
+          this.extend(sentAt);
+          if (lapsed) this.ctx.log('info', 'the lease outlived the gap: leading on', { token: held.token });
+          return this.scheduleRenewal(this.ttlMs / 4);
+        }
+        if (r.why === 'gone' || r.why === 'rejected') {
+          this.ctx.log('info', 'the lease ended: no longer leading', { token: held.token });
+          this.drop();
+          return this.retry(10);
+        }
+        this.scheduleRenewal(200);
+      },
+      Math.min(1500, this.ttlMs / 3),
+      3000,
+      (at) => {
+        sentAt = at;
+      },
+    );
+  }
+}
+
+export const leaderCondition = (l: Leadership): { key: string; version: Revision } => ({
+  key: LEADER_KEY,
+  version: revision(l.token),
+});
--- /dev/null
+++ b/src/core/fleet.ts
@@ -0,0 +1,182 @@
+import type { Job, Placement } from './jobs.js';
+import type {
+  Attempt,
+  ImageName,
+  JobId,
+  MachineId,
+  MachineType,
+  Resources,
+  Session,
+  Seq,
+  Steady,
+  TypeName,
+  ZoneName,
+} from './types.js';
+
+export type TaskKey = string;
+export const taskKey = (job: JobId, index: number): TaskKey => `${job}/${index}`;
+
+export interface ExitedTask {
+  readonly job: JobId;
+  readonly index: number;
+  readonly attempt: Attempt;
+  readonly done: boolean;
+}
+
+interface CachedImage {
+  readonly gb: number;
+  lastUse: Steady;
+  /** While it is being fetched: since when. */
+  fetchingSince: Steady | null;
+}
+
+export class Machine {
+  addr: string;
+  phase: 'booting' | 'up' | 'leaving';
+  /** Known to the store: before that, no command goes to it. */
+  registered = false;
+  registering = false;
+  registryAddr = '';
+  /** False while it may hold tasks we don't know of: it was registered by an earlier leader and hasn't shown us its list. */
+  accounted: boolean;
+  session: Session | null = null;
+  seq: Seq | null = null;
+  /** Highest token the worker has shown. */
+  tokenSeen = 0n;
+  lastHeardAt: Steady;
+  firstHeardAt: Steady | null = null;
+  rentedAt: Steady;
+  noticeUntil: Steady | null = null;
+  /** Out of use for a reason: no new work, and returned once empty. */
+  draining: string | null = null;
+  errorStreak = 0;
+  suspectUntil = 0 as Steady;
+  idleSince: Steady;
+  /** A deletion is under way; and: one was asked for, whose outcome may be unknown. */
+  deleting = false;
+  returning = false;
+  lastListedAt: Steady | null = null;
+  directInFlight = false;
+  readonly placements = new Map<TaskKey, Placement>();
+  exited: ExitedTask[] = [];
+  readonly images = new Map<ImageName, CachedImage>();
+  usedCpus = 0;
+  usedGpus = 0;
+  usedMem = 0;
+
+  constructor(
+    readonly id: MachineId,
+    readonly type: MachineType,
+    readonly zone: ZoneName,
+    readonly spot: boolean,
+    addr: string,
+    accounted: boolean,
+    phase: 'booting' | 'up',
+    now: Steady,
+  ) {
+    this.addr = addr;
+    this.accounted = accounted;
+    this.phase = phase;
+    this.lastHeardAt = now;
+    this.rentedAt = now;
+    this.idleSince = now;
+  }
+
+  get typeName(): TypeName {
+    return this.type.name;
+  }
+
+  /** Whether new work may be given to it. */
+  usable(now: Steady): boolean {
+    return (
+      this.phase === 'up' &&
+      this.accounted &&
+      this.draining === null &&
+      this.noticeUntil === null &&
+      !this.deleting &&
+      this.suspectUntil <= now
+    );
+  }
+
+  fits(r: Resources): boolean {
+    const eps = 1e-6;
+    return (
+      this.usedCpus + r.cpus <= this.type.cpus + eps &&
+      this.usedGpus + r.gpus <= this.type.gpus + eps &&
+      this.usedMem + r.memGb <= this.type.memGb + eps
+    );
+  }
+
+  add(p: Placement): void {
+    this.placements.set(taskKey(p.job.id, p.index), p);
+    this.usedCpus += p.job.spec.cpus;
+    this.usedGpus += p.job.spec.gpus;
+    this.usedMem += p.job.spec.memGb;
+  }
+
+  remove(p: Placement, now: Steady): void {
+    const key = taskKey(p.job.id, p.index);
+    if (this.placements.get(key) !== p) return;
+    this.placements.delete(key);
+    this.usedCpus -= p.job.spec.cpus;
+    this.usedGpus -= p.job.spec.gpus;
+    this.usedMem -= p.job.spec.memGb;
+    if (this.placements.size === 0) {
+      this.usedCpus = 0;
+      this.usedGpus = 0;
+      this.usedMem = 0;
+      this.idleSince = now;
+    }
+  }
+
+  /** Seconds until `image` would be there if a task asked for it now. */
+  fetchSeconds(image: ImageName, gb: number, now: Steady): number {
+    const cached = this.images.get(image);
+    const full = gb / Math.max(0.01, this.type.fetchGbPerS);
+    if (!cached) return full;
+    if (cached.fetchingSince === null) return 0;
+    return Math.max(1, full - (now - cached.fetchingSince) / 1000);
+  }
+
+  noteImage(job: Job, fetching: boolean, now: Steady): void {
+    const { image, imageGb } = job.spec;
+    const cached = this.images.get(image);
+    if (fetching) {
+      if (!cached) this.images.set(image, { gb: imageGb, lastUse: now, fetchingSince: now });
+      return;
+    }
+    if (cached) {
+      cached.fetchingSince = null;
+      cached.lastUse = now;
+    } else this.images.set(image, { gb: imageGb, lastUse: now, fetchingSince: null });
+    this.evict();
+  }
+
+  /** A fetch is given up once no task waits for it. */
+  dropUnwantedFetches(): void {
+    for (const [image, cached] of this.images) {
+      if (cached.fetchingSince === null) continue;
+      let wanted = false;
+      for (const p of this.placements.values()) if (p.job.spec.image === image) wanted = true;
+      if (!wanted) this.images.delete(image);
+    }
+  }
+
+  private evict(): void {
+    let total = 0;
+    for (const c of this.images.values()) total += c.gb;
+    while (total > this.type.cacheGb && this.images.size > 1) {
+      let oldest: ImageName | null = null;
+      let at = Number.POSITIVE_INFINITY;
+      for (const [image, c] of this.images) {
+        if (c.fetchingSince === null && c.lastUse < at) {
+          at = c.lastUse;
+          oldest = image;
+        }
+      }
+      if (oldest === null) return;
+      total -= this.images.get(oldest)?.gb ?? 0;
+      this.images.delete(oldest);
+    }
+  }
+}
--- /dev/null
+++ b/src/core/jobs.ts
@@ -0,0 +1,151 @@
+import type { Machine } from './fleet.js';
+import type { JobRecord, JobState } from './records.js';
+import { RangeSet } from './ranges.js';
+import type { Attempt, JobId, JobSpec, Revision, Seq, Steady, Wall, ZoneName } from './types.js';
+
+export type PlacementPhase =
+  /** Given a place; no `start` has been answered yet, so it can be taken back freely. */
+  | 'planned'
+  /** A `start` went out in a report's answer: it is on the machine until a newer report says otherwise. */
+  | 'sent'
+  | 'fetching'
+  | 'waiting'
+  | 'running'
+  | 'saving';
+
+export interface Placement {
+  readonly job: Job;
+  readonly index: number;
+  readonly machine: Machine;
+  readonly attempt: Attempt;
+  phase: PlacementPhase;
+  /** The report in whose answer the `start` last went out. */
+  sentSeq: Seq | null;
+  readonly since: Steady;
+  runningSince: Steady | null;
+  stop: { graceS: number; readonly since: Steady } | null;
+}
+
+/** A job as the leader holds it: its record, and where its tasks are. */
+export class Job {
+  readonly spec: JobSpec;
+  readonly submittedAt: Wall;
+  state: JobState;
+  version: Revision;
+  /** What the store is known to hold. */
+  durableDone: RangeSet;
+  durableState: JobState;
+  durableStartTerm: number;
+  startTerm: number;
+  startZone: ZoneName | null;
+  /** What is known to be complete, durable or not. */
+  readonly done: RangeSet;
+  readonly placements = new Map<number, Placement>();
+  /** A gang's present attempt can't complete any more: all of it has to leave. */
+  broken = false;
+  writing = false;
+  lastWriteAt = 0 as Steady;
+  /** After failures: not before this time. */
+  notBefore = 0 as Steady;
+  failures = 0;
+  readonly failedOn = new Set<string>();
+  private scan = 0;
+
+  constructor(record: JobRecord, version: Revision) {
+    this.spec = record.spec;
+    this.submittedAt = record.submittedAt;
+    this.version = version;
+    this.state = record.state;
+    this.durableState = record.state;
+    this.durableDone = record.done;
+    this.durableStartTerm = record.startTerm;
+    this.startTerm = record.startTerm;
+    this.startZone = record.startZone;
+    this.done = RangeSet.from(record.done.pairs());
+  }
+
+  get id(): JobId {
+    return this.spec.id;
+  }
+
+  /** Takes over what a newer record says. */
+  merge(record: JobRecord, version: Revision): void {
+    if (version < this.version) return;
+    this.version = version;
+    this.durableState = record.state;
+    this.durableDone = record.done;
+    this.durableStartTerm = record.startTerm;
+    if (record.startTerm > 0 && this.startTerm === 0) {
+      this.startTerm = record.startTerm;
+      this.startZone = record.startZone;
+    }
+    if (record.state !== 'accepted') this.state = record.state;
+    this.done.addAll(record.done);
+  }
+
+  get waiting(): number {
+    if (this.state !== 'accepted') return 0;
+    if (this.spec.shape === 'gang') return this.placements.size === 0 && this.done.count === 0 ? this.spec.tasks : 0;
+    return this.spec.tasks - this.done.count - this.placements.size;
+  }
+
+  /** Whether the store lacks something that must be there before anything else can happen. */
+  get needsWrite(): 'no' | 'soon' | 'now' {
+    if (this.durableState !== 'accepted') return 'no';
+    if (this.state === 'done' || this.startTerm !== this.durableStartTerm) return 'now';
+    return this.done.count > this.durableDone.count ? 'soon' : 'no';
+  }
+
+  isDone(index: number): boolean {
+    return this.done.has(index);
+  }
+
+  /** Whether the result of a task may be dropped from its worker. */
+  exitIsDurable(index: number): boolean {
+    return this.durableState !== 'accepted' || this.durableDone.has(index);
+  }
+
+  markDone(index: number): void {
+    if (this.spec.shape === 'gang') for (let i = 0; i < this.spec.tasks; i++) this.done.add(i);
+    else this.done.add(index);
+    if (this.done.count >= this.spec.tasks && this.state === 'accepted') this.state = 'done';
+  }
+
+  freed(index: number): void {
+    if (index < this.scan) this.scan = index;
+  }
+
+  /** Up to `most` task numbers that wait for a place, lowest first. */
+  waitingTasks(most: number): number[] {
+    const found: number[] = [];
+    let contiguous = true;
+    for (let i = this.scan; i < this.spec.tasks && found.length < most; i++) {
+      const waits = !this.placements.has(i) && !this.done.has(i);
+      if (waits) {
+        found.push(i);
+        contiguous = false;
+      } else if (contiguous) this.scan = i + 1;
+    }
+    return found;
+  }
+
+  runningCount(): number {
+    let n = 0;
+    for (const p of this.placements.values()) if (p.phase === 'running' || p.phase === 'saving') n += 1;
+    return n;
+  }
+
+  /** How many of its tasks may be in each zone now. */
+  zoneCounts(): Map<ZoneName, number> {
+    const counts = new Map<ZoneName, number>();
+    for (const p of this.placements.values()) {
+      counts.set(p.machine.zone, (counts.get(p.machine.zone) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  /** The largest number of its tasks that one zone may hold. */
+  get zoneLimit(): number {
+    return this.spec.spread ? Math.ceil(this.spec.tasks / 2) : this.spec.tasks;
+  }
+}
--- /dev/null
+++ b/src/core/messages.ts
@@ -0,0 +1,157 @@
+import type {
+  Command,
+  JobId,
+  JobSpec,
+  LeaseId,
+  ListedMachine,
+  MachineId,
+  MachineType,
+  NodeName,
+  Revision,
+  Session,
+  Token,
+  TypeName,
+  WorkerReport,
+  ZoneName,
+} from './types.js';
+
+/** Why a call to an outside service brought no result. */
+export type Failure =
+  /** Answered that it was not executed (429, 503). */
+  | 'refused'
+  /** No answer: it may have been executed, or still be. */
+  | 'unknown'
+  /** The thing named no longer exists (a lease that ended, a watch too far back). */
+  | 'gone'
+  /** The conditions of a transaction did not hold. */
+  | 'conflict'
+  /** The cloud has no such machine to rent. */
+  | 'no_capacity'
+  /** The service called the request malformed. */
+  | 'rejected';
+
+export type Result<T> = { readonly ok: true; readonly value: T } | { readonly ok: false; readonly why: Failure };
+
+export interface StoredItem {
+  readonly key: string;
+  readonly value: unknown;
+  readonly version: Revision;
+}
+
+export interface Condition {
+  readonly key: string;
+  readonly version: Revision;
+}
+
+export type Change =
+  | { readonly put: string; readonly value: unknown; readonly lease?: LeaseId }
+  | { readonly drop: string };
+
+export type StoreEvent =
+  | { readonly put: string; readonly value: unknown; readonly version: Revision }
+  | { readonly drop: string; readonly version: Revision };
+
+export type StoreOp =
+  | { readonly op: 'get'; readonly key: string }
+  | { readonly op: 'list'; readonly prefix: string; readonly after: string | null; readonly limit: number }
+  | { readonly op: 'txn'; readonly conditions: readonly Condition[]; readonly changes: readonly Change[] }
+  | { readonly op: 'grant'; readonly ttlMs: number }
+  | { readonly op: 'renew'; readonly lease: LeaseId }
+  | { readonly op: 'revoke'; readonly lease: LeaseId }
+  | { readonly op: 'watch'; readonly prefix: string; readonly after: Revision; readonly waitMs: number };
+
+export interface StoreValue {
+  /** get: null where the key does not exist. */
+  readonly item?: StoredItem | null;
+  readonly items?: readonly StoredItem[];
+  readonly more?: boolean;
+  readonly revision?: Revision;
+  readonly lease?: LeaseId;
+  readonly events?: readonly StoreEvent[];
+}
+
+export type CloudOp =
+  | { readonly op: 'types' }
+  | { readonly op: 'list'; readonly after: MachineId | null }
+  | {
+      readonly op: 'rent';
+      readonly request: string;
+      readonly type: TypeName;
+      readonly zone: ZoneName;
+      readonly spot: boolean;
+      readonly count: number;
+    }
+  | { readonly op: 'delete'; readonly machines: readonly MachineId[] };
+
+export interface CloudValue {
+  readonly types?: readonly MachineType[];
+  readonly machines?: readonly ListedMachine[];
+  readonly more?: boolean;
+  readonly rented?: readonly MachineId[];
+}
+
+export interface WorkerOp {
+  readonly addr: string;
+  readonly token: Token;
+  readonly session: Session;
+  readonly commands: readonly Command[];
+}
+
+export interface WorkerValue {
+  readonly executed: boolean;
+  readonly report: WorkerReport;
+}
+
+export type UserRequest =
+  | { readonly op: 'submit'; readonly id: JobId; readonly spec: JobSpec | null; readonly problem: string }
+  | { readonly op: 'poll'; readonly id: JobId }
+  | { readonly op: 'cancel'; readonly id: JobId };
+
+export type UserMood = 'queued' | 'running' | 'done' | 'cancelled';
+
+export type UserAnswer =
+  | { readonly status: 200 | 201; readonly id: JobId; readonly mood: UserMood; readonly done: number; readonly running: number }
+  | { readonly status: 400 | 404 | 422 | 503; readonly problem: string; readonly retryAfterS?: number };
+
+export type WorkerAnswer =
+  | { readonly status: 200; readonly token: Token; readonly commands: readonly Command[] }
+  | { readonly status: 421; readonly reportTo: NodeName | null }
+  | { readonly status: 503 };
+
+export interface PeerStatus {
+  /** Whether the sender holds the lead, as far as it knows. */
+  readonly leading: boolean;
+  /** Whether the state service answered the sender lately. */
+  readonly storeOk: boolean;
+  /** Milliseconds since a worker last reached the sender; negative: never. */
+  readonly workersHeardMs: number;
+}
+
+export type PeerMessage =
+  | { readonly kind: 'status'; readonly status: PeerStatus }
+  | { readonly kind: 'relay'; readonly id: number; readonly request: UserRequest }
+  | { readonly kind: 'relayed'; readonly id: number; readonly answer: UserAnswer };
+
+export type RequestId = number;
+export type CallId = number;
+
+export type Input =
+  | { readonly kind: 'start' }
+  | { readonly kind: 'timer' }
+  | { readonly kind: 'user'; readonly req: RequestId; readonly request: UserRequest }
+  | { readonly kind: 'beat'; readonly req: RequestId; readonly report: WorkerReport }
+  | { readonly kind: 'storeReply'; readonly call: CallId; readonly result: Result<StoreValue> }
+  | { readonly kind: 'cloudReply'; readonly call: CallId; readonly result: Result<CloudValue> }
+  | { readonly kind: 'workerReply'; readonly call: CallId; readonly result: Result<WorkerValue> }
+  | { readonly kind: 'peer'; readonly from: NodeName; readonly message: PeerMessage };
+
+export type LogLevel = 'error' | 'info' | 'debug';
+
+export type Output =
+  | { readonly kind: 'answerUser'; readonly req: RequestId; readonly answer: UserAnswer }
+  | { readonly kind: 'answerWorker'; readonly req: RequestId; readonly answer: WorkerAnswer }
+  | { readonly kind: 'store'; readonly call: CallId; readonly op: StoreOp; readonly timeoutMs: number }
+  | { readonly kind: 'cloud'; readonly call: CallId; readonly op: CloudOp }
+  | { readonly kind: 'worker'; readonly call: CallId; readonly op: WorkerOp }
+  | { readonly kind: 'peer'; readonly to: NodeName; readonly message: PeerMessage }
+  | { readonly kind: 'log'; readonly level: LogLevel; readonly text: string; readonly fields: Record<string, unknown> };
--- /dev/null
+++ b/src/core/quotas.ts
@@ -0,0 +1,68 @@
+import type { JobSpec, Team, TeamName } from './types.js';
+
+interface Use {
+  cpus: number;
+  gpus: number;
+}
+
+/** What each team may have on machines: everything sent, fetching, running or saving counts until proven gone. */
+export class Quotas {
+  private readonly teams = new Map<TeamName, Team>();
+  private readonly use = new Map<TeamName, Use>();
+  /** Capacity of machines that may hold anybody's tasks: it counts against every limited team. */
+  unaccounted: Use = { cpus: 0, gpus: 0 };
+
+  constructor(teams: readonly Team[]) {
+    for (const t of teams) {
+      this.teams.set(t.name, t);
+      this.use.set(t.name, { cpus: 0, gpus: 0 });
+    }
+  }
+
+  team(name: TeamName): Team | undefined {
+    return this.teams.get(name);
+  }
+
+  all(): Iterable<Team> {
+    return this.teams.values();
+  }
+
+  used(name: TeamName): Use {
+    return this.use.get(name) ?? { cpus: 0, gpus: 0 };
+  }
+
+  add(spec: JobSpec, tasks: number): void {
+    const u = this.use.get(spec.team);
+    if (!u) return;
+    u.cpus += spec.cpus * tasks;
+    u.gpus += spec.gpus * tasks;
+  }
+
+  /** How many more tasks of this kind the team's limit allows now. */
+  room(spec: JobSpec): number {
+    const team = this.teams.get(spec.team);
+    const use = this.use.get(spec.team);
+    if (!team || !use) return 0;
+    return Math.min(
+      roomFor(team.cpusMax, use.cpus + this.unaccounted.cpus, spec.cpus),
+      roomFor(team.gpusMax, use.gpus + this.unaccounted.gpus, spec.gpus),
+    );
+  }
+
+  hasGuarantee(name: TeamName): boolean {
+    const t = this.teams.get(name);
+    return t !== undefined && (t.cpus > 0 || t.gpus > 0);
+  }
+}
+
+/** Whether a job could ever run within its team's limit. */
+export function withinLimit(team: Team, spec: JobSpec): boolean {
+  const n = spec.shape === 'gang' ? spec.tasks : 1;
+  const ok = (max: number, each: number) => max <= 0 || each * n <= max + 1e-9;
+  return ok(team.cpusMax, spec.cpus) && ok(team.gpusMax, spec.gpus);
+}
+
+function roomFor(max: number, used: number, each: number): number {
+  if (max <= 0 || each <= 0) return Number.POSITIVE_INFINITY;
+  return Math.max(0, Math.floor((max - used) / each + 1e-9));
+}
--- /dev/null
+++ b/src/core/reports.ts
@@ -0,0 +1,187 @@
+import type { Cluster } from './cluster.js';
+import { type Machine, taskKey } from './fleet.js';
+import type { Job } from './jobs.js';
+import { type Command, type Steady, steadyPlus, type TaskReport, type Token, type WorkerReport } from './types.js';
+
+const COMMANDS_MAX = 400;
+
+/** Whether a report is newer than anything seen of this machine. */
+function isNewer(m: Machine, r: WorkerReport): boolean {
+  if (m.session === null || m.seq === null) return true;
+  return r.session > m.session || (r.session === m.session && r.seq > m.seq);
+}
+
+/**
+ * Takes in a worker's report. A list counts only if it carries this leader's token (so no older command can still be
+ * executed) and is newer than any before it: lists can arrive late and in any order. Returns whether room came free.
+ */
+export function applyReport(cluster: Cluster, m: Machine, r: WorkerReport, token: Token, beat: boolean): boolean {
+  const now = cluster.ctx.now.steady;
+  if (r.token > m.tokenSeen) m.tokenSeen = r.token;
+  if (!isNewer(m, r)) return false;
+  // Without our token the list may be older than a command of an earlier leader that is still on its way.
+  if (r.token !== token && (m.registered || !m.accounted)) return false;
+  let freed = false;
+  if (m.session !== null && r.session > m.session) {
+    cluster.ctx.log('info', 'worker began a new session: its tasks are gone', {
+      machine: m.id,
+      session: r.session,
+      tasks: m.placements.size,
+    });
+    cluster.releaseAll(m);
+    m.images.forEach((image, name) => {
+      if (image.fetchingSince !== null) m.images.delete(name);
+    });
+    freed = true;
+  }
+  m.session = r.session;
+  m.seq = r.seq;
+  if (!m.accounted) {
+    m.accounted = true;
+    cluster.countUnaccounted();
+    freed = true;
+  }
+  if (r.noticeS !== null) {
+    if (m.noticeUntil === null) {
+      cluster.ctx.log('info', 'the cloud will take the machine', { machine: m.id, inS: r.noticeS });
+      freed = true;
+    }
+    m.noticeUntil = steadyPlus(now, r.noticeS * 1000);
+  }
+  const seen = new Set<string>();
+  m.exited = [];
+  for (const t of r.tasks) {
+    const key = taskKey(t.job, t.index);
+    if (t.phase === 'exited') {
+      if (takeExit(cluster, m, t)) freed = true;
+    } else {
+      seen.add(key);
+      takeLive(cluster, m, t, now);
+    }
+  }
+  for (const [key, p] of [...m.placements]) {
+    if (seen.has(key) || p.phase === 'planned') continue;
+    if (p.phase === 'sent') {
+      // Only a newer report of the same kind shows that the answer with the start was dropped: replies to direct
+      // commands overtake it. Reports are sent one after the other.
+      if (!beat || p.sentSeq === null || r.seq <= p.sentSeq) continue;
+      p.phase = 'planned';
+      p.sentSeq = null;
+      if (p.stop !== null || p.job.broken || p.job.state !== 'accepted') {
+        cluster.release(p);
+        freed = true;
+      }
+      continue;
+    }
+    cluster.ctx.log('info', 'task is no longer on its machine', { task: key, machine: m.id });
+    cluster.release(p);
+    freed = true;
+  }
+  m.dropUnwantedFetches();
+  return freed;
+}
+
+/** A task that ended. Returns whether room came free. */
+function takeExit(cluster: Cluster, m: Machine, t: TaskReport): boolean {
+  const { ctx } = cluster;
+  const job = cluster.jobs.get(t.job);
+  const done = t.reason === 'done';
+  m.exited.push({ job: t.job, index: t.index, attempt: t.attempt, done });
+  if (!job) return false;
+  const p = cluster.findPlacement(m, t.job, t.index);
+  const mine = p !== undefined && p.attempt === t.attempt;
+  if (done && job.state === 'accepted' && !job.isDone(t.index)) {
+    job.markDone(t.index);
+    m.errorStreak = 0;
+    if (mine && p.runningSince !== null && job.failures === 0) {
+      cluster.estimates.observe(job.spec, (ctx.now.steady - p.runningSince) / 1000);
+    }
+    ctx.timers.set('flush', ctx.now.steady);
+  }
+  if (!mine) return false;
+  if (!done) noteFailure(cluster, m, job, t);
+  cluster.release(p);
+  return true;
+}
+
+function noteFailure(cluster: Cluster, m: Machine, job: Job, t: TaskReport): void {
+  const { ctx } = cluster;
+  const now = ctx.now.steady;
+  if (t.reason === 'stopped' || t.reason === 'peers_gone') {
+    job.failures += 1;
+    return;
+  }
+  ctx.log('info', 'task ended early', { task: taskKey(t.job, t.index), machine: m.id, reason: t.reason });
+  job.failures += 1;
+  if (t.reason === 'no_room' || t.reason === 'busy' || t.reason === 'unknown') {
+    job.notBefore = steadyPlus(now, 1000);
+    return;
+  }
+  if (t.reason !== 'error') return;
+  job.failedOn.add(m.id);
+  // A job that failed on several machines is more likely at fault than the machine, and is tried ever more rarely.
+  if (job.failedOn.size >= 3) {
+    job.notBefore = steadyPlus(now, Math.min(60_000, 2000 * 2 ** Math.min(5, job.failedOn.size - 3)));
+    return;
+  }
+  m.errorStreak += 1;
+  m.suspectUntil = steadyPlus(now, 3000);
+  if (m.errorStreak >= ctx.tuning.machines.error_limit && m.draining === null) {
+    m.draining = 'fails its tasks';
+    ctx.log('info', 'machine fails what it starts: taking it out of use', { machine: m.id, errors: m.errorStreak });
+  }
+}
+
+function takeLive(cluster: Cluster, m: Machine, t: TaskReport, now: Steady): void {
+  const job = cluster.jobs.get(t.job);
+  if (!job) return;
+  let p = cluster.findPlacement(m, t.job, t.index);
+  if (p && p.attempt !== t.attempt) {
+    // An older attempt is still there: ours can't have been started.
+    cluster.release(p);
+    p = undefined;
+  }
+  if (!p) {
+    const elsewhere = job.placements.get(t.index);
+    if (elsewhere && elsewhere.phase === 'planned') cluster.release(elsewhere);
+    else if (elsewhere) {
+      cluster.ctx.log('error', 'task reported by two machines', {
+        task: taskKey(t.job, t.index),
+        machines: [m.id, elsewhere.machine.id],
+      });
+      return;
+    }
+    p = cluster.place(job, t.index, m, t.attempt, t.phase as 'running');
+    if (job.state === 'cancelled') cluster.stop(p, 0);
+    if (job.spec.shape === 'array' && job.isDone(t.index)) cluster.stop(p, 0);
+  }
+  p.phase = t.phase as 'running';
+  if (t.phase === 'fetching') m.noteImage(job, true, now);
+  else m.noteImage(job, false, now);
+  if (t.phase === 'running' && p.runningSince === null) p.runningSince = now;
+}
+
+/** What to tell a worker: results to drop first, then stops, then starts. */
+export function compileCommands(cluster: Cluster, m: Machine, starts: boolean): Command[] {
+  const commands: Command[] = [];
+  if (starts) {
+    for (const e of m.exited) {
+      const job = cluster.jobs.get(e.job);
+      if (!e.done || !job || job.exitIsDurable(e.index)) {
+        commands.push({ op: 'forget', job: e.job, index: e.index, attempt: e.attempt });
+      }
+    }
+  }
+  for (const p of m.placements.values()) {
+    if (p.stop === null || p.phase === 'planned') continue;
+    commands.push({ op: 'stop', job: p.job.id, index: p.index, attempt: p.attempt, graceS: p.stop.graceS });
+  }
+  if (starts) {
+    for (const p of m.placements.values()) {
+      if (commands.length >= COMMANDS_MAX) break;
+      if (p.stop !== null || (p.phase !== 'planned' && p.phase !== 'sent')) continue;
+      commands.push({ op: 'start', job: p.job.id, index: p.index, attempt: p.attempt });
+    }
+  }
+  return commands;
+}
--- /dev/null
+++ b/src/core/scheduler/round.ts
@@ -0,0 +1,274 @@
+import { xoroshiro128plus } from 'pure-rand';
+import type { Cluster } from '../cluster.js';
+import type { Machine } from '../fleet.js';
+import type { Job, Placement } from '../jobs.js';
+import type { MachineType, Steady, ZoneName } from '../types.js';
+import { Evolution } from './evolution.js';
+import { type Plan, type PlanJob, type PlanMachine, type PlannedStart, Planner } from './planner.js';
+import { rankValue, userWeight } from './priority.js';
+
+/** What a round found out, for the autoscaler. */
+export interface RoundResult {
+  readonly plan: Plan;
+  readonly jobs: readonly Job[];
+  readonly planJobs: readonly PlanJob[];
+  readonly machines: readonly Machine[];
+  readonly started: number;
+}
+
+const NOW_S = 0.05;
+const TASKS_PLANNED = 400;
+
+/** Seconds until a running task is expected to leave its machine. */
+function remainingS(cluster: Cluster, p: Placement, now: Steady): number {
+  const report = cluster.ctx.settings.workers.reportMs / 1000;
+  const { spec } = p.job;
+  if (p.stop !== null) return Math.max(report, p.stop.graceS);
+  const expected = cluster.estimates.expectS(spec);
+  if (p.runningSince === null) {
+    return p.machine.fetchSeconds(spec.image, spec.imageGb, now) + expected;
+  }
+  // Overdue work is taken to end one report period from now.
+  return Math.max(report, expected - (now - p.runningSince) / 1000);
+}
+
+/** When a machine that was rented but hasn't reported is expected, in seconds from now. */
+export function bootingS(m: Machine, now: Steady): number {
+  const age = (now - m.rentedAt) / 1000;
+  return Math.max(m.type.bootS * 0.15, m.type.bootS * 1.05 - age);
+}
+
+function planMachine(cluster: Cluster, m: Machine, slot: number, now: Steady): PlanMachine {
+  const ready = m.phase === 'booting' ? bootingS(m, now) : 0;
+  const times = [ready];
+  const cpus = [m.type.cpus - m.usedCpus];
+  const gpus = [m.type.gpus - m.usedGpus];
+  const mem = [m.type.memGb - m.usedMem];
+  const ends = [...m.placements.values()]
+    .map((p) => ({ at: remainingS(cluster, p, now), spec: p.job.spec }))
+    .sort((a, b) => a.at - b.at);
+  for (const { at, spec } of ends) {
+    let k = times.length - 1;
+    if (at > (times[k] as number) + 0.01) {
+      times.push(at);
+      cpus.push(cpus[k] as number);
+      gpus.push(gpus[k] as number);
+      mem.push(mem[k] as number);
+      k += 1;
+    }
+    cpus[k] = (cpus[k] as number) + spec.cpus;
+    gpus[k] = (gpus[k] as number) + spec.gpus;
+    mem[k] = (mem[k] as number) + spec.memGb;
+  }
+  return {
+    slot,
+    zone: m.zone,
+    type: m.type,
+    spot: m.spot,
+    times,
+    cpus,
+    gpus,
+    mem,
+    fetchS: (image, gb) => m.fetchSeconds(image, gb, now),
+  };
+}
+
+function couldHost(job: Job, type: MachineType, zone: ZoneName): boolean {
+  const { spec } = job;
+  return (
+    (spec.types === null || spec.types.includes(type.name)) &&
+    (spec.zone === null || spec.zone === zone) &&
+    spec.cpus <= type.cpus &&
+    spec.gpus <= type.gpus &&
+    spec.memGb <= type.memGb
+  );
+}
+
+/** Zones that may host the job now: the search draws from these only. */
+function feasibleZones(cluster: Cluster, job: Job, machines: readonly PlanMachine[]): ZoneName[] {
+  const { spec } = job;
+  if (spec.sameZone) for (const p of job.placements.values()) return [p.machine.zone];
+  const here = new Set<ZoneName>();
+  for (const m of machines) {
+    if ((spec.spotOk || !m.spot) && couldHost(job, m.type, m.zone)) here.add(m.zone);
+  }
+  if (here.size > 0) return [...here].sort();
+  for (const t of cluster.types.values()) for (const z of t.zones) if (couldHost(job, t, z)) here.add(z);
+  return [...here].sort();
+}
+
+/** Whether a team's unfinished work fits its guarantee: then it need not wait for others. */
+function guaranteedTeams(cluster: Cluster): Set<string> {
+  const wanted = new Map<string, { cpus: number; gpus: number }>();
+  for (const job of cluster.active) {
+    if (job.state !== 'accepted') continue;
+    const w = wanted.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+    const n = job.spec.tasks - job.done.count;
+    w.cpus += n * job.spec.cpus;
+    w.gpus += n * job.spec.gpus;
+    wanted.set(job.spec.team, w);
+  }
+  const found = new Set<string>();
+  for (const t of cluster.quotas.all()) {
+    const w = wanted.get(t.name);
+    if (!w || (t.cpus <= 0 && t.gpus <= 0)) continue;
+    if ((t.cpus <= 0 || w.cpus <= t.cpus) && (t.gpus <= 0 || w.gpus <= t.gpus)) found.add(t.name);
+  }
+  return found;
+}
+
+/** One planning round: rank, search zones, plan, and give places to what can start now. */
+export function scheduleRound(cluster: Cluster, seed: number): RoundResult {
+  const { ctx } = cluster;
+  const now = ctx.now.steady;
+  const tuning = ctx.tuning.scheduler;
+  const unaccounted = cluster.countUnaccounted();
+  const machines: Machine[] = [];
+  for (const m of cluster.machines.values()) {
+    if (m.usable(now) || (m.phase === 'booting' && !m.deleting && m.draining === null)) machines.push(m);
+  }
+  const planMachines = machines.map((m, slot) => planMachine(cluster, m, slot, now));
+  const guaranteed = guaranteedTeams(cluster);
+  const ranked: { job: Job; tasks: number; waitedS: number; first: boolean; value: number }[] = [];
+  for (const job of cluster.active) {
+    const waiting = Math.min(job.waiting, TASKS_PLANNED);
+    if (waiting <= 0 || job.notBefore > now || cluster.blocked(job, unaccounted)) continue;
+    // Jobs of a team at its limit sit this round out.
+    const room = cluster.quotas.room(job.spec);
+    const tasks = job.spec.shape === 'gang' ? waiting : Math.min(waiting, room);
+    if (tasks <= 0 || tasks > room) continue;
+    const waitedS = Math.max(0, (ctx.now.wall - job.submittedAt) / 1000);
+    const value = rankValue(job.spec, tasks, cluster.estimates.expectS(job.spec), waitedS);
+    ranked.push({ job, tasks, waitedS, first: guaranteed.has(job.spec.team), value });
+  }
+  ranked.sort((a, b) => Number(b.first) - Number(a.first) || a.value - b.value || (a.job.id < b.job.id ? -1 : 1));
+  const jobs: Job[] = [];
+  const planJobs: PlanJob[] = [];
+  for (const { job, tasks, waitedS } of ranked.slice(0, tuning.jobs_planned)) {
+    const zones = feasibleZones(cluster, job, planMachines);
+    if (zones.length === 0) continue;
+    planJobs.push(planJob(cluster, job, tasks, zones, waitedS, jobs.length, machines));
+    jobs.push(job);
+  }
+  const planner = new Planner({
+    average: tuning.weight_average,
+    maximum: tuning.weight_maximum,
+    idle: tuning.weight_idle,
+  });
+  const search = new Evolution(planner, xoroshiro128plus(seed), {
+    individuals: tuning.individuals,
+    generations: tuning.generations,
+    mutation: tuning.mutation,
+    planSteps: tuning.plan_steps,
+  });
+  const plan: Plan =
+    planJobs.length > 0
+      ? search.search(planMachines, planJobs)
+      : { starts: [], cost: 0, unplaced: new Map(), steps: 0 };
+  const started = apply(cluster, plan, jobs, machines);
+  return { plan, jobs, planJobs, machines, started };
+}
+
+function planJob(
+  cluster: Cluster,
+  job: Job,
+  tasks: number,
+  zones: ZoneName[],
+  waitedS: number,
+  slot: number,
+  machines: readonly Machine[],
+): PlanJob {
+  const { spec } = job;
+  let zoneRoom: Map<ZoneName, number> | null = null;
+  if (spec.spread) {
+    const counts = job.zoneCounts();
+    zoneRoom = new Map(zones.map((z) => [z, Math.max(0, job.zoneLimit - (counts.get(z) ?? 0))]));
+  }
+  const avoid = new Set<number>();
+  if (job.failedOn.size > 0 && job.failedOn.size < 3) {
+    machines.forEach((m, i) => {
+      if (job.failedOn.has(m.id)) avoid.add(i);
+    });
+  }
+  return {
+    slot,
+    gang: spec.shape === 'gang',
+    tasks,
+    durationS: cluster.estimates.expectS(spec),
+    cpus: spec.cpus,
+    gpus: spec.gpus,
+    memGb: spec.memGb,
+    image: spec.image,
+    imageGb: spec.imageGb,
+    types: spec.types,
+    spotOk: spec.spotOk,
+    sameZone: spec.sameZone,
+    zoneRoom,
+    zones,
+    weight: userWeight(spec.rank),
+    waitedS,
+    avoid: avoid.size > 0 ? avoid : null,
+  };
+}
+
+/** Whether one more task of the job may go to this machine, by its job's wishes and the room really free. */
+export function mayHost(cluster: Cluster, job: Job, m: Machine): boolean {
+  const { spec } = job;
+  if (!m.usable(cluster.ctx.now.steady) || !m.fits(spec) || cluster.quotas.room(spec) < 1) return false;
+  if (!couldHost(job, m.type, m.zone) || (m.spot && !spec.spotOk)) return false;
+  if (spec.sameZone) for (const p of job.placements.values()) if (p.machine.zone !== m.zone) return false;
+  return !spec.spread || (job.zoneCounts().get(m.zone) ?? 0) < job.zoneLimit;
+}
+
+function apply(cluster: Cluster, plan: Plan, jobs: readonly Job[], machines: readonly Machine[]): number {
+  let started = 0;
+  const gangs = new Map<number, PlannedStart[]>();
+  for (const s of plan.starts) {
+    const job = jobs[s.job] as Job;
+    if (job.spec.shape === 'gang') {
+      const parts = gangs.get(s.job);
+      if (parts) parts.push(s);
+      else gangs.set(s.job, [s]);
+      continue;
+    }
+    if (s.roomAtS > NOW_S) continue;
+    const machine = machines[s.machine] as Machine;
+    for (const index of job.waitingTasks(s.tasks)) {
+      if (!mayHost(cluster, job, machine)) break;
+      begin(cluster, job, index, machine, cluster.nextAttempt());
+      started += 1;
+    }
+  }
+  for (const [slot, parts] of gangs) {
+    if (parts.some((s) => s.roomAtS > NOW_S)) continue;
+    started += applyGang(cluster, jobs[slot] as Job, parts, machines);
+  }
+  return started;
+}
+
+/** A gang starts whole or not at all. */
+function applyGang(cluster: Cluster, job: Job, parts: PlannedStart[], machines: readonly Machine[]): number {
+  if (job.placements.size > 0 || cluster.quotas.room(job.spec) < job.spec.tasks) return 0;
+  const attempt = cluster.nextAttempt();
+  let index = 0;
+  for (const s of parts) {
+    const machine = machines[s.machine] as Machine;
+    for (let i = 0; i < s.tasks; i++) {
+      if (!mayHost(cluster, job, machine)) {
+        cluster.breakGang(job);
+        return 0;
+      }
+      begin(cluster, job, index, machine, attempt);
+      index += 1;
+    }
+  }
+  return index;
+}
+
+function begin(cluster: Cluster, job: Job, index: number, machine: Machine, attempt: Placement['attempt']): void {
+  cluster.place(job, index, machine, attempt, 'planned');
+  if (job.startTerm === 0) {
+    job.startTerm = cluster.term;
+    job.startZone = machine.zone;
+  }
+}
--- /dev/null
+++ b/src/core/settings.ts
@@ -0,0 +1,58 @@
+import type { NodeName, Team, ZoneName } from './types.js';
+
+/** What the platform says about this deployment, as the core needs it. */
+export interface Settings {
+  readonly node: NodeName;
+  readonly zone: ZoneName;
+  readonly peers: readonly { readonly name: NodeName; readonly zone: ZoneName }[];
+  readonly nodes: number;
+  readonly zones: readonly ZoneName[];
+  readonly skewMs: number;
+  readonly teams: readonly Team[];
+  readonly workers: {
+    readonly reportMs: number;
+    readonly leaseMs: number;
+    readonly gangWaitMs: number;
+    readonly gangPeerMs: number;
+    readonly cancelMs: number;
+  };
+  readonly store: {
+    readonly rps: number;
+    readonly writeRps: number;
+    readonly valueBytes: number;
+    readonly txnOps: number;
+  };
+  readonly cloud: { readonly rps: number; readonly listLagMs: number };
+}
+
+/** The operators' own tuning; units and reasons stand in deploy/tuning.toml. */
+export interface Tuning {
+  readonly leadership: {
+    readonly lease_share: number;
+    readonly margin_ms: number;
+    readonly resign_after_ms: number;
+    readonly backoff_ms: number;
+  };
+  readonly scheduler: {
+    readonly period_ms: number;
+    readonly spacing_ms: number;
+    readonly individuals: number;
+    readonly generations: number;
+    readonly mutation: number;
+    readonly plan_steps: number;
+    readonly jobs_planned: number;
+    readonly weight_average: number;
+    readonly weight_maximum: number;
+    readonly weight_idle: number;
+  };
+  readonly machines: {
+    readonly idle_return_s: number;
+    readonly rent_horizon_s: number;
+    readonly rent_round_up: number;
+    readonly rent_margin_s: number;
+    readonly refused_backoff_s: number;
+    readonly boot_give_up: number;
+    readonly error_limit: number;
+    readonly keep_guarantees: boolean;
+  };
+}
--- /dev/null
+++ b/src/io/cbor.ts
@@ -0,0 +1,15 @@
+import type { Encoder as CborEncoder } from 'cbor-x';
+
+// The optional native part only speeds up long texts, and loading it costs more than it brings here.
+process.env.CBOR_NATIVE_ACCELERATION_DISABLED ??= 'true';
+const { Encoder } = await import('cbor-x');
+
+const codec: CborEncoder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
+
+export function encode(value: unknown): Buffer {
+  return Buffer.from(codec.encode(value));
+}
+
+export function decode(bytes: Uint8Array): unknown {
+  return codec.decode(bytes);
+}
--- /dev/null
+++ b/src/io/front.ts
@@ -0,0 +1,112 @@
+import { createServer, type Server } from 'node:http';
+import { getRequestListener } from '@hono/node-server';
+import { type Context as HonoContext, Hono } from 'hono';
+import { bodyLimit } from 'hono/body-limit';
+import type { UserAnswer, UserRequest, WorkerAnswer } from '../core/messages.js';
+import type { JobId, WorkerReport } from '../core/types.js';
+import { decode, encode } from './cbor.js';
+import { type Fields, fields, WireError } from './fields.js';
+import { decodeJob, decodeReport, encodeUserAnswer, encodeWorkerAnswer, jobId } from './wire.js';
+
+export interface FrontHandlers {
+  user(request: UserRequest): Promise<UserAnswer>;
+  beat(report: WorkerReport): Promise<WorkerAnswer>;
+  healthy(): boolean;
+  malformed(what: string): void;
+}
+
+const BODY_MAX = 64 * 1024;
+const CBOR = { 'content-type': 'application/cbor' };
+
+type C = HonoContext;
+
+function reply(status: number, body: Fields, headers: Record<string, string> = {}): Response {
+  return new Response(encode(body) as Uint8Array<ArrayBuffer>, { status, headers: { ...CBOR, ...headers } });
+}
+
+function replyUser(answer: UserAnswer): Response {
+  const wait: Record<string, string> = {};
+  if ('retryAfterS' in answer && answer.retryAfterS) wait['retry-after'] = String(answer.retryAfterS);
+  return reply(answer.status, encodeUserAnswer(answer), wait);
+}
+
+async function readMap(c: C): Promise<Fields> {
+  const bytes = new Uint8Array(await c.req.arrayBuffer());
+  let value: unknown;
+  try {
+    value = decode(bytes);
+  } catch {
+    throw new WireError('not CBOR');
+  }
+  return fields(value, 'the body');
+}
+
+function submission(f: Fields): UserRequest | string {
+  const id = jobId(f.ref);
+  if (!id) return 'ref is not a job id';
+  try {
+    return { op: 'submit', id, spec: decodeJob(f), problem: '' };
+  } catch (e) {
+    if (!(e instanceof WireError)) throw e;
+    // A known job is answered with its state whatever the repeat's body: the desk decides.
+    return { op: 'submit', id, spec: null, problem: e.message };
+  }
+}
+
+/** Users, workers and load balancers, all on one address. */
+export function makeFront(handlers: FrontHandlers, maxConnections: number): Server {
+  const app = new Hono();
+  const limit = bodyLimit({ maxSize: BODY_MAX, onError: () => reply(400, { error: 'body over 64 KiB' }) });
+
+  const onJob = async (c: C, make: (id: JobId) => UserRequest): Promise<Response> => {
+    const id = jobId(c.req.param('id'));
+    // An id that no job can have needs no look-up.
+    if (!id) return reply(404, { error: 'no such job' });
+    return replyUser(await handlers.user(make(id)));
+  };
+
+  app.get('/up', () => new Response('', { status: handlers.healthy() ? 200 : 503 }));
+  app.post('/agent/beat', limit, async (c) => {
+    let report: WorkerReport;
+    try {
+      report = decodeReport(await readMap(c));
+    } catch (e) {
+      if (!(e instanceof WireError)) throw e;
+      handlers.malformed(`report: ${e.message}`);
+      return reply(400, { error: e.message });
+    }
+    const answer = await handlers.beat(report);
+    return reply(answer.status, encodeWorkerAnswer(answer));
+  });
+  app.post('/v2/runs', limit, async (c) => {
+    let request: UserRequest | string;
+    try {
+      request = submission(await readMap(c));
+    } catch (e) {
+      if (!(e instanceof WireError)) throw e;
+      request = e.message;
+    }
+    if (typeof request === 'string') return reply(400, { error: request });
+    return replyUser(await handlers.user(request));
+  });
+  app.get('/v2/runs/:id', (c) => onJob(c, (id) => ({ op: 'poll', id })));
+  app.post('/v2/runs/:id/withdraw', limit, (c) => onJob(c, (id) => ({ op: 'cancel', id })));
+  for (const path of ['/up', '/agent/beat', '/v2/runs', '/v2/runs/:id', '/v2/runs/:id/withdraw']) {
+    app.all(path, () => reply(405, { error: 'method not allowed' }));
+  }
+  app.notFound(() => reply(404, { error: 'no such path' }));
+  app.onError((e) => {
+    handlers.malformed(`request: ${e.message}`);
+    return reply(500, { error: 'internal error' });
+  });
+
+  const listener = getRequestListener(app.fetch, { overrideGlobalObjects: false });
+  const server = createServer({ keepAliveTimeout: 120_000, noDelay: true }, (req, res) => {
+    void listener(req, res);
+  });
+  // Slow and half-open connections are bounded in time and number; some sockets stay free for our own calls.
+  server.headersTimeout = 10_000;
+  server.requestTimeout = 15_000;
+  server.maxConnections = Math.max(16, Math.floor(maxConnections * 0.85));
+  return server;
+}
--- /dev/null
+++ b/src/io/peer_codec.ts
@@ -0,0 +1,259 @@
+import type { PeerMessage, UserAnswer, UserMood, UserRequest } from '../core/messages.js';
+import type { JobSpec, NodeName } from '../core/types.js';
+import { jobId } from './wire.js';
+
+/**
+ * Between our own processes: frames of a four-byte length, a version, a kind and a payload, all by hand. Anything too
+ * long, of another version or cut short is refused whole.
+ */
+export const PEER_VERSION = 1;
+export const FRAME_MAX = 256 * 1024;
+const HEAD = 6;
+
+export type PeerFrame = { readonly kind: 'hello'; readonly node: NodeName } | PeerMessage;
+
+const KINDS = ['hello', 'status', 'relay', 'relayed'] as const;
+const OPS = ['submit', 'poll', 'cancel'] as const;
+const MOODS: readonly UserMood[] = ['queued', 'running', 'done', 'cancelled'];
+
+class Writer {
+  private buffer = Buffer.alloc(512);
+  private at = HEAD;
+
+  private room(n: number): void {
+    if (this.at + n <= this.buffer.length) return;
+    const bigger = Buffer.alloc(Math.max(this.buffer.length * 2, this.at + n));
+    this.buffer.copy(bigger, 0, 0, this.at);
+    this.buffer = bigger;
+  }
+
+  u8(n: number): void {
+    this.room(1);
+    this.at = this.buffer.writeUInt8(n, this.at);
+  }
+
+  u32(n: number): void {
+    this.room(4);
+    this.at = this.buffer.writeUInt32BE(n, this.at);
+  }
+
+  f64(n: number): void {
+    this.room(8);
+    this.at = this.buffer.writeDoubleBE(n, this.at);
+  }
+
+  text(s: string): void {
+    const bytes = Buffer.byteLength(s);
+    this.u32(bytes);
+    this.room(bytes);
+    this.at += this.buffer.write(s, this.at);
+  }
+
+  optional(s: string | null): void {
+    this.u8(s === null ? 0 : 1);
+    if (s !== null) this.text(s);
+  }
+
+  finish(kind: number): Buffer {
+    this.buffer.writeUInt32BE(this.at - 4, 0);
+    this.buffer.writeUInt8(PEER_VERSION, 4);
+    this.buffer.writeUInt8(kind, 5);
+    return this.buffer.subarray(0, this.at);
+  }
+}
+
+export class FrameError extends Error {}
+
+class Reader {
+  private at = 0;
+  constructor(private readonly buffer: Buffer) {}
+
+  private take(n: number): number {
+    const from = this.at;
+    if (from + n > this.buffer.length) throw new FrameError('frame cut short');
+    this.at += n;
+    return from;
+  }
+
+  u8(): number {
+    return this.buffer.readUInt8(this.take(1));
+  }
+
+  u32(): number {
+    return this.buffer.readUInt32BE(this.take(4));
+  }
+
+  f64(): number {
+    return this.buffer.readDoubleBE(this.take(8));
+  }
+
+  text(): string {
+    const n = this.u32();
+    const from = this.take(n);
+    return this.buffer.toString('utf8', from, from + n);
+  }
+
+  optional(): string | null {
+    return this.u8() === 0 ? null : this.text();
+  }
+
+  pick<T>(from: readonly T[]): T {
+    const value = from[this.u8()];
+    if (value === undefined) throw new FrameError('unknown code');
+    return value;
+  }
+}
+
+function writeSpec(w: Writer, s: JobSpec): void {
+  w.text(s.jobClass);
+  w.text(s.team);
+  w.u8(s.shape === 'gang' ? 1 : 0);
+  w.u8(s.rank);
+  w.u32(s.tasks);
+  for (const n of [s.cpus, s.gpus, s.memGb, s.imageGb, s.estimateS, s.checkpointS, s.saveS]) w.f64(n);
+  w.text(s.image);
+  w.optional(s.types === null ? null : s.types.join('\n'));
+  w.optional(s.zone);
+  w.u8((s.sameZone ? 1 : 0) | (s.spread ? 2 : 0) | (s.spotOk ? 4 : 0) | (s.deadlineS === null ? 0 : 8));
+  w.f64(s.deadlineS ?? 0);
+}
+
+function readSpec(r: Reader, id: JobSpec['id']): JobSpec {
+  const jobClass = r.text();
+  const team = r.text() as JobSpec['team'];
+  const shape = r.pick(['array', 'gang'] as const);
+  const rank = r.pick([0, 1, 2, 3] as const);
+  const tasks = r.u32();
+  const [cpus, gpus, memGb, imageGb, estimateS, checkpointS, saveS] = [
+    r.f64(),
+    r.f64(),
+    r.f64(),
+    r.f64(),
+    r.f64(),
+    r.f64(),
+    r.f64(),
+  ];
+  const image = r.text() as JobSpec['image'];
+  const types = r.optional();
+  const zone = r.optional() as JobSpec['zone'];
+  const bits = r.u8();
+  const deadlineS = r.f64();
+  return {
+    id,
+    jobClass,
+    team,
+    shape,
+    rank,
+    tasks,
+    cpus,
+    gpus,
+    memGb,
+    image,
+    imageGb,
+    types: types === null ? null : (types === '' ? [] : (types.split('\n') as never[])),
+    zone,
+    sameZone: (bits & 1) !== 0,
+    spread: (bits & 2) !== 0,
+    spotOk: (bits & 4) !== 0,
+    estimateS,
+    checkpointS,
+    saveS,
+    deadlineS: (bits & 8) !== 0 ? deadlineS : null,
+  };
+}
+
+function writeRequest(w: Writer, q: UserRequest): void {
+  w.u8(OPS.indexOf(q.op));
+  w.text(q.id);
+  if (q.op !== 'submit') return;
+  w.text(q.problem);
+  w.u8(q.spec ? 1 : 0);
+  if (q.spec) writeSpec(w, q.spec);
+}
+
+function readRequest(r: Reader): UserRequest {
+  const op = r.pick(OPS);
+  const id = jobId(r.text());
+  if (!id) throw new FrameError('not a job id');
+  if (op !== 'submit') return { op, id };
+  const problem = r.text();
+  return { op, id, problem, spec: r.u8() === 1 ? readSpec(r, id) : null };
+}
+
+function writeAnswer(w: Writer, a: UserAnswer): void {
+  w.u32(a.status);
+  if ('mood' in a) {
+    w.text(a.id);
+    w.u8(MOODS.indexOf(a.mood));
+    w.u32(a.done);
+    w.u32(a.running);
+  } else {
+    w.text(a.problem);
+    w.u32(a.retryAfterS ?? 0);
+  }
+}
+
+function readAnswer(r: Reader): UserAnswer {
+  const status = r.u32();
+  if (status === 200 || status === 201) {
+    const id = jobId(r.text());
+    if (!id) throw new FrameError('not a job id');
+    return { status, id, mood: r.pick(MOODS), done: r.u32(), running: r.u32() };
+  }
+  if (status !== 400 && status !== 404 && status !== 422 && status !== 503) throw new FrameError('unknown status');
+  const problem = r.text();
+  const retryAfterS = r.u32();
+  return retryAfterS > 0 ? { status, problem, retryAfterS } : { status, problem };
+}
+
+export function encodeFrame(f: PeerFrame): Buffer {
+  const w = new Writer();
+  if (f.kind === 'hello') w.text(f.node);
+  else if (f.kind === 'status') {
+    w.u8((f.status.leading ? 1 : 0) | (f.status.storeOk ? 2 : 0));
+    w.f64(f.status.workersHeardMs);
+  } else {
+    w.f64(f.id);
+    if (f.kind === 'relay') writeRequest(w, f.request);
+    else writeAnswer(w, f.answer);
+  }
+  return w.finish(KINDS.indexOf(f.kind));
+}
+
+function decodeFrame(kind: number, payload: Buffer): PeerFrame {
+  const r = new Reader(payload);
+  switch (KINDS[kind]) {
+    case 'hello':
+      return { kind: 'hello', node: r.text() as NodeName };
+    case 'status': {
+      const bits = r.u8();
+      const workersHeardMs = r.f64();
+      return { kind: 'status', status: { leading: (bits & 1) !== 0, storeOk: (bits & 2) !== 0, workersHeardMs } };
+    }
+    case 'relay':
+      return { kind: 'relay', id: r.f64(), request: readRequest(r) };
+    case 'relayed':
+      return { kind: 'relayed', id: r.f64(), answer: readAnswer(r) };
+    default:
+      throw new FrameError('unknown kind');
+  }
+}
+
+/** Cuts a stream into frames. Throws on anything it can't trust; the connection is then closed. */
+export class FrameSplitter {
+  private rest: Buffer = Buffer.alloc(0);
+
+  push(part: Buffer): PeerFrame[] {
+    this.rest = this.rest.length === 0 ? part : Buffer.concat([this.rest, part]);
+    const frames: PeerFrame[] = [];
+    while (this.rest.length >= HEAD) {
+      const length = this.rest.readUInt32BE(0);
+      if (length < 2 || length > FRAME_MAX) throw new FrameError('frame length out of bounds');
+      if (this.rest.length < 4 + length) break;
+      if (this.rest.readUInt8(4) !== PEER_VERSION) throw new FrameError('unknown version');
+      frames.push(decodeFrame(this.rest.readUInt8(5), this.rest.subarray(HEAD, 4 + length)));
+      this.rest = this.rest.subarray(4 + length);
+    }
+    return frames;
+  }
+}
--- /dev/null
+++ b/src/io/runtime.ts
@@ -0,0 +1,187 @@
+import { randomBytes } from 'node:crypto';
+import type { Server } from 'node:http';
+import type { Platform } from '../config/platform.js';
+import type { Input, Output, Result, UserAnswer, WorkerAnswer } from '../core/messages.js';
+import { Node } from '../core/node.js';
+import type { Tuning } from '../core/settings.js';
+import type { Now, Steady, Wall } from '../core/types.js';
+import { makeFront } from './front.js';
+import { HttpClient, type Reply } from './http_client.js';
+import type { Log } from './log.js';
+import { PeerLink } from './peer_link.js';
+import { COMMANDS_PATH, decodeCloud, decodeDirect, decodeStore, encodeCloud, encodeDirect, encodeStore } from './wire.js';
+
+const CLOUD_TIMEOUT_MS = 4000;
+const WORKER_TIMEOUT_MS = 2500;
+const WORKER_SOCKETS = 1;
+
+/** Sockets and timers round the core: inputs go in one at a time, outputs are carried out at once. */
+export class Runtime {
+  private readonly node: Node;
+  private readonly store: HttpClient;
+  private readonly watches: HttpClient;
+  private readonly cloud: HttpClient;
+  private readonly workers = new Map<string, HttpClient>();
+  private readonly peers: PeerLink;
+  private readonly front: Server;
+  private readonly userWaits = new Map<number, (a: UserAnswer) => void>();
+  private readonly workerWaits = new Map<number, (a: WorkerAnswer) => void>();
+  private lastRequest = 0;
+  private timer: NodeJS.Timeout | null = null;
+  private timerAt = Number.POSITIVE_INFINITY;
+  private malformedCount = 0;
+
+  constructor(
+    private readonly platform: Platform,
+    tuning: Tuning,
+    private readonly log: Log,
+  ) {
+    const seed = randomBytes(4).readInt32BE(0);
+    const incarnation = randomBytes(8).toString('hex');
+    this.node = new Node(platform.settings, tuning, incarnation, seed, this.now());
+    this.store = new HttpClient(platform.storeAddr, 24);
+    this.watches = new HttpClient(platform.storeAddr, 4);
+    this.cloud = new HttpClient(platform.cloudAddr, 4);
+    this.peers = new PeerLink(
+      platform.settings.node,
+      platform.peers,
+      (from, message) => this.step({ kind: 'peer', from, message }),
+      log,
+    );
+    this.front = makeFront(
+      {
+        user: (request) =>
+          new Promise((resolve) => {
+            const req = ++this.lastRequest;
+            this.userWaits.set(req, resolve);
+            this.step({ kind: 'user', req, request });
+          }),
+        beat: (report) =>
+          new Promise((resolve) => {
+            const req = ++this.lastRequest;
+            this.workerWaits.set(req, resolve);
+            this.step({ kind: 'beat', req, report });
+          }),
+        healthy: () => this.node.healthy(this.now().steady),
+        malformed: (what) => this.malformed(what),
+      },
+      platform.maxConnections,
+    );
+  }
+
+  start(): void {
+    const { listen } = this.platform;
+    const colon = listen.lastIndexOf(':');
+    this.front.on('error', (e) => {
+      this.log('error', 'cannot listen', { listen, error: e.message });
+      process.exit(1);
+    });
+    this.front.listen(Number(listen.slice(colon + 1)), listen.slice(0, colon));
+    this.peers.listen(this.platform.peerListen);
+    this.log('info', 'started', { listen, peers: this.platform.peers.length });
+    this.step({ kind: 'start' });
+  }
+
+  private now(): Now {
+    return { steady: performance.now() as Steady, wall: Date.now() as Wall };
+  }
+
+  private malformed(what: string): void {
+    this.malformedCount += 1;
+    // Counted always, told at growing distances: a flood of bad messages must not become a flood of lines.
+    if ((this.malformedCount & (this.malformedCount - 1)) === 0) {
+      this.log('info', 'malformed message dropped', { what, count: this.malformedCount });
+    }
+  }
+
+  private step(input: Input): void {
+    for (const o of this.node.step(this.now(), input)) this.carryOut(o);
+    this.setTimer();
+  }
+
+  private setTimer(): void {
+    const next = this.node.nextTimer();
+    if (next === null) return;
+    if (this.timer && this.timerAt === next) return;
+    if (this.timer) clearTimeout(this.timer);
+    this.timerAt = next;
+    this.timer = setTimeout(
+      () => {
+        this.timer = null;
+        this.step({ kind: 'timer' });
+      },
+      Math.max(0, Math.ceil(next - performance.now())),
+    );
+  }
+
+  private carryOut(o: Output): void {
+    switch (o.kind) {
+      case 'answerUser': {
+        this.userWaits.get(o.req)?.(o.answer);
+        this.userWaits.delete(o.req);
+        break;
+      }
+      case 'answerWorker': {
+        this.workerWaits.get(o.req)?.(o.answer);
+        this.workerWaits.delete(o.req);
+        break;
+      }
+      case 'store': {
+        const client = o.op.op === 'watch' ? this.watches : this.store;
+        const { method, path, body } = encodeStore(o.op);
+        client.call(method, path, body, o.timeoutMs, (reply) => {
+          const result = this.read(reply, 'state service', (r) => decodeStore(o.op, r.status, r.body));
+          this.step({ kind: 'storeReply', call: o.call, result });
+        });
+        break;
+      }
+      case 'cloud': {
+        const { method, path, body } = encodeCloud(o.op);
+        this.cloud.call(method, path, body, CLOUD_TIMEOUT_MS, (reply) => {
+          const result = this.read(reply, 'cloud', (r) => decodeCloud(o.op, r.status, r.body));
+          this.step({ kind: 'cloudReply', call: o.call, result });
+        });
+        break;
+      }
+      case 'worker': {
+        const client = this.workerClient(o.op.addr);
+        client.call('POST', COMMANDS_PATH, encodeDirect(o.op), WORKER_TIMEOUT_MS, (reply) => {
+          const result = this.read(reply, 'worker', (r) => decodeDirect(r.status, r.body));
+          this.step({ kind: 'workerReply', call: o.call, result });
+        });
+        break;
+      }
+      case 'peer':
+        this.peers.send(o.to, o.message);
+        break;
+      case 'log':
+        this.log(o.level, o.text, o.fields);
+        break;
+    }
+  }
+
+  private workerClient(addr: string): HttpClient {
+    let client = this.workers.get(addr);
+    if (!client) {
+      // Machines come and go: only the most recently used addresses keep a connection.
+      if (this.workers.size >= 128) {
+        const [oldest, old] = this.workers.entries().next().value as [string, HttpClient];
+        old.close();
+        this.workers.delete(oldest);
+      }
+      client = new HttpClient(addr, WORKER_SOCKETS);
+      this.workers.set(addr, client);
+    }
+    return client;
+  }
+
+  private read<T>(reply: Reply | null, from: string, decode: (r: Reply) => Result<T>): Result<T> {
+    if (!reply) return { ok: false, why: 'unknown' };
+    try {
+      return decode(reply);
+    } catch (e) {
+      this.malformed(`${from}: ${(e as Error).message}`);
+      return { ok: false, why: 'unknown' };
+    }
+  }
+}
--- /dev/null
+++ b/src/io/wire.ts
@@ -0,0 +1,331 @@
+import type {
+  CloudOp,
+  CloudValue,
+  Result,
+  StoredItem,
+  StoreEvent,
+  StoreOp,
+  StoreValue,
+  UserAnswer,
+  WorkerAnswer,
+  WorkerOp,
+  WorkerValue,
+} from '../core/messages.js';
+import {
+  type Attempt,
+  type Command,
+  type ExitReason,
+  type ImageName,
+  type JobId,
+  type JobSpec,
+  type LeaseId,
+  type ListedMachine,
+  type MachineId,
+  type MachineType,
+  type Rank,
+  revision,
+  type Seq,
+  type Session,
+  type Shape,
+  type TaskPhase,
+  type TaskReport,
+  type TeamName,
+  type Token,
+  type TypeName,
+  type WorkerReport,
+  type ZoneName,
+} from '../core/types.js';
+import { amount, amountOrNull, type Fields, fields, flag, list, oneOf, text, textOrNull, uint, WireError } from './fields.js';
+
+/** The names of the wire stand here and nowhere else. */
+const SHAPES: Readonly<Record<string, Shape>> = { batch: 'array', ensemble: 'gang' };
+const RANKS: Readonly<Record<string, Rank>> = { low: 0, normal: 1, urgent: 2, critical: 3 };
+const PHASES: Readonly<Record<string, TaskPhase>> = {
+  pulling: 'fetching',
+  gathering: 'waiting',
+  running: 'running',
+  flushing: 'saving',
+  exited: 'exited',
+};
+const REASONS: Readonly<Record<string, ExitReason>> = {
+  done: 'done',
+  stopped: 'stopped',
+  mates_gone: 'peers_gone',
+  alone: 'alone',
+  error: 'error',
+  full: 'no_room',
+  in_use: 'busy',
+  no_such: 'unknown',
+};
+const MOODS = { queued: 'queued', running: 'running', done: 'done', cancelled: 'withdrawn' } as const;
+const MACHINE_PHASES: Readonly<Record<string, ListedMachine['phase']>> = {
+  booting: 'booting',
+  running: 'running',
+  failed: 'failed',
+};
+const TASKS_MAX = 100_000;
+
+const JOB_ID = /^job-\d{1,32}$/;
+
+export function jobId(s: unknown): JobId | null {
+  return typeof s === 'string' && JOB_ID.test(s) ? (s as JobId) : null;
+}
+
+// ---- users
+
+export function decodeJob(f: Fields): JobSpec {
+  const id = jobId(f.ref);
+  if (!id) throw new WireError('ref is not a job id');
+  const tasks = uint(f, 'chicks');
+  if (tasks < 1n || tasks > BigInt(TASKS_MAX)) throw new WireError('chicks is out of range');
+  const types = f.breeds === undefined || f.breeds === null ? null : list(f, 'breeds');
+  if (types?.some((t) => typeof t !== 'string')) throw new WireError('breeds is not a list of texts');
+  return {
+    id,
+    jobClass: text(f, 'flock'),
+    team: text(f, 'crew') as TeamName,
+    shape: oneOf(f, 'shape', SHAPES),
+    rank: oneOf(f, 'rank', RANKS),
+    tasks: Number(tasks),
+    cpus: amount(f, 'cpus'),
+    gpus: amount(f, 'gpus'),
+    memGb: amount(f, 'mem_gb'),
+    image: text(f, 'plumage') as ImageName,
+    imageGb: amount(f, 'image_gb'),
+    types: types as TypeName[] | null,
+    zone: textOrNull(f, 'grove') as ZoneName | null,
+    sameZone: flag(f, 'same_place'),
+    spread: flag(f, 'apart'),
+    spotOk: flag(f, 'loaners'),
+    estimateS: amount(f, 'flight_s'),
+    checkpointS: amount(f, 'cache_s'),
+    saveS: amount(f, 'stash_s'),
+    deadlineS: amountOrNull(f, 'due_s'),
+  };
+}
+
+export function encodeUserAnswer(a: UserAnswer): Fields {
+  if ('mood' in a) {
+    return { ref: a.id, mood: MOODS[a.mood], done: a.done, running: a.running };
+  }
+  return { error: a.problem };
+}
+
+// ---- workers
+
+function taskName(s: string): { job: JobId; index: number } {
+  const slash = s.lastIndexOf('/');
+  const job = jobId(s.slice(0, slash));
+  const number = s.slice(slash + 1);
+  if (!job || !/^\d{1,6}$/.test(number)) throw new WireError('chick is not a task');
+  return { job, index: Number(number) };
+}
+
+function decodeTask(raw: unknown): TaskReport {
+  const f = fields(raw, 'chick');
+  const phase = oneOf(f, 'mood', PHASES);
+  return {
+    ...taskName(text(f, 'chick')),
+    attempt: uint(f, 'hop') as Attempt,
+    phase,
+    reason: phase === 'exited' ? oneOf(f, 'cause', REASONS) : null,
+    saved: f.kept === true,
+  };
+}
+
+export function decodeReport(raw: unknown): WorkerReport {
+  const f = fields(raw, 'report');
+  return {
+    machine: text(f, 'perch') as MachineId,
+    addr: text(f, 'addr'),
+    type: text(f, 'breed') as TypeName,
+    zone: text(f, 'grove') as ZoneName,
+    spot: flag(f, 'loaners'),
+    session: uint(f, 'roost') as Session,
+    seq: uint(f, 'chirp') as Seq,
+    token: uint(f, 'crest') as Token,
+    noticeS: amountOrNull(f, 'warning_s'),
+    tasks: list(f, 'chicks').map(decodeTask),
+  };
+}
+
+function encodeCommand(c: Command): Fields {
+  const chick = `${c.job}/${c.index}`;
+  if (c.op === 'start') return { call: 'run', chick, hop: c.attempt };
+  if (c.op === 'forget') return { call: 'reap', chick, hop: c.attempt };
+  return { call: 'stop', chick, hop: c.attempt, settle_s: c.graceS };
+}
+
+export function encodeWorkerAnswer(a: WorkerAnswer): Fields {
+  if (a.status === 200) return { crest: a.token, calls: a.commands.map(encodeCommand) };
+  if (a.status === 421 && a.reportTo !== null) return { nest: a.reportTo };
+  return {};
+}
+
+export const COMMANDS_PATH = '/commands';
+
+export function encodeDirect(op: WorkerOp): Fields {
+  return { crest: op.token, roost: op.session, calls: op.commands.map(encodeCommand) };
+}
+
+export function decodeDirect(status: number, body: unknown): Result<WorkerValue> {
+  if (status !== 200 && status !== 409) return { ok: false, why: 'rejected' };
+  return { ok: true, value: { executed: status === 200, report: decodeReport(body) } };
+}
+
+// ---- cloud
+
+export interface HttpCall {
+  readonly method: 'GET' | 'POST' | 'DELETE';
+  readonly path: string;
+  readonly body?: Fields;
+}
+
+export function encodeCloud(op: CloudOp): HttpCall {
+  switch (op.op) {
+    case 'types':
+      return { method: 'GET', path: '/catalog' };
+    case 'list': {
+      const after = op.after === null ? '' : `after=${encodeURIComponent(op.after)}&`;
+      return { method: 'GET', path: `/hosts?${after}most=500` };
+    }
+    case 'rent':
+      return {
+        method: 'POST',
+        path: '/hosts',
+        body: { ask: op.request, breed: op.type, grove: op.zone, loaners: op.spot, count: op.count },
+      };
+    case 'delete':
+      return { method: 'POST', path: '/hosts/delete', body: { perches: op.machines } };
+  }
+}
+
+function decodeType(raw: unknown): MachineType {
+  const f = fields(raw, 'breed');
+  return {
+    name: text(f, 'name') as TypeName,
+    cpus: amount(f, 'cpus'),
+    gpus: amount(f, 'gpus'),
+    memGb: amount(f, 'mem_gb'),
+    cacheGb: amount(f, 'local_gb'),
+    fetchGbPerS: amount(f, 'fetch_gb_per_s'),
+    price: amount(f, 'rate'),
+    spotPrice: amount(f, 'spot_price'),
+    bootS: amount(f, 'startup_s'),
+    zones: list(f, 'groves') as ZoneName[],
+  };
+}
+
+function decodeListed(raw: unknown): ListedMachine {
+  const f = fields(raw, 'perch');
+  return {
+    id: text(f, 'ref') as MachineId,
+    addr: typeof f.addr === 'string' ? f.addr : '',
+    type: text(f, 'breed') as TypeName,
+    zone: text(f, 'grove') as ZoneName,
+    spot: flag(f, 'loaners'),
+    phase: oneOf(f, 'mood', MACHINE_PHASES),
+    ageS: amount(f, 'held_s'),
+  };
+}
+
+export function decodeCloud(op: CloudOp, status: number, body: unknown): Result<CloudValue> {
+  if (status === 429) return { ok: false, why: 'refused' };
+  if (status === 503) {
+    const error = (body as { error?: unknown } | null)?.error;
+    return { ok: false, why: op.op === 'rent' && error === 'no capacity' ? 'no_capacity' : 'refused' };
+  }
+  if (status === 400) return { ok: false, why: 'rejected' };
+  if (status !== 200) return { ok: false, why: 'unknown' };
+  const f = fields(body, 'answer');
+  switch (op.op) {
+    case 'types':
+      return { ok: true, value: { types: list(f, 'breeds').map(decodeType) } };
+    case 'list':
+      return { ok: true, value: { machines: list(f, 'perches').map(decodeListed), more: f.has_next === true } };
+    case 'rent':
+      return { ok: true, value: { rented: list(f, 'perches') as MachineId[] } };
+    case 'delete':
+      return { ok: true, value: {} };
+  }
+}
+
+// ---- state service
+
+export function encodeStore(op: StoreOp): HttpCall {
+  switch (op.op) {
+    case 'get':
+      return { method: 'GET', path: `/kv/${op.key}` };
+    case 'list': {
+      const after = op.after === null ? '' : `&after=${op.after}`;
+      return { method: 'GET', path: `/kv?under=${op.prefix}${after}&most=${op.limit}` };
+    }
+    case 'txn':
+      return {
+        method: 'POST',
+        path: '/multi',
+        body: {
+          if: op.conditions.map((c) => ({ k: c.key, feather: c.version })),
+          then: op.changes.map((c) => {
+            if ('drop' in c) return { drop: c.drop };
+            return c.lease === undefined
+              ? { put: c.put, data: c.value }
+              : { put: c.put, data: c.value, tether: c.lease };
+          }),
+        },
+      };
+    case 'grant':
+      return { method: 'POST', path: '/grants', body: { life_ms: op.ttlMs } };
+    case 'renew':
+      return { method: 'POST', path: `/grants/${op.lease}/renew` };
+    case 'revoke':
+      return { method: 'DELETE', path: `/grants/${op.lease}` };
+    case 'watch':
+      return { method: 'GET', path: `/follow?under=${op.prefix}&after=${op.after}&wait_ms=${op.waitMs}` };
+  }
+}
+
+function decodeItem(raw: unknown): StoredItem {
+  const f = fields(raw, 'item');
+  return { key: text(f, 'k'), value: f.data, version: revision(uint(f, 'feather')) };
+}
+
+function decodeEvent(raw: unknown): StoreEvent {
+  const f = fields(raw, 'event');
+  const version = revision(uint(f, 'feather'));
+  if (typeof f.drop === 'string') return { drop: f.drop, version };
+  return { put: text(f, 'put'), value: f.data, version };
+}
+
+export function decodeStore(op: StoreOp, status: number, body: unknown): Result<StoreValue> {
+  if (status === 429 || status === 503) return { ok: false, why: 'refused' };
+  if (status === 400) return { ok: false, why: 'rejected' };
+  if (status === 409) return { ok: false, why: 'conflict' };
+  if (status === 410) return { ok: false, why: 'gone' };
+  if (status === 404) {
+    if (op.op !== 'get') return { ok: false, why: 'gone' };
+    const f = fields(body, 'answer');
+    return { ok: true, value: { item: null, revision: revision(uint(f, 'molt')) } };
+  }
+  if (status < 200 || status > 299) return { ok: false, why: 'unknown' };
+  if (op.op === 'renew' || op.op === 'revoke') return { ok: true, value: {} };
+  const f = fields(body, 'answer');
+  switch (op.op) {
+    case 'get':
+      return { ok: true, value: { item: decodeItem(f) } };
+    case 'list':
+      return {
+        ok: true,
+        value: { items: list(f, 'entries').map(decodeItem), more: f.has_next === true, revision: revision(uint(f, 'molt')) },
+      };
+    case 'txn':
+      return { ok: true, value: { revision: revision(uint(f, 'molt')) } };
+    case 'grant':
+      return { ok: true, value: { lease: uint(f, 'tether') as LeaseId } };
+    case 'watch':
+      return {
+        ok: true,
+        value: { events: list(f, 'news').map(decodeEvent), revision: revision(uint(f, 'molt')) },
+      };
+  }
+}
--- /dev/null
+++ b/src/version.ts
@@ -0,0 +1,1 @@
+export const VERSION = '0.1.0';
