--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -1,7 +1,7 @@
 import type { Cluster } from './cluster.js';
 import { Machine } from './fleet.js';
-import type { RoundResult } from './scheduler/round.js';
 import type { PlanJob } from './scheduler/planner.js';
+import type { RoundResult } from './scheduler/round.js';
 import {
   type ListedMachine,
   type MachineId,
@@ -199,17 +199,20 @@
   consider(round: RoundResult): void {
     if (this.cluster.active.size > 0) this.lastWorkAt = this.now;
     if (!this.listedOnce) return;
-    const need = new Map<string, { kind: Kind; machines: number }>();
-    for (const { job, tasks } of this.lateTasks(round)) {
+    const need = new Map<string, { kind: Kind; machines: number; least: number }>();
+    for (const { job, tasks, unplaced } of this.lateTasks(round)) {
       const kind = this.cheapest(job, tasks);
       if (!kind) continue;
       const key = kindKey(kind.type.name, kind.zone, kind.spot);
-      const entry = need.get(key) ?? { kind, machines: 0 };
+      const entry = need.get(key) ?? { kind, machines: 0, least: 0 };
       entry.machines += this.machinesFor(job, kind.type, tasks);
+      // Work that no machine can take gets one, however little it is: rounding must not starve it.
+      if (unplaced) entry.least = 1;
       need.set(key, entry);
     }
-    for (const { kind, machines } of need.values()) {
-      const n = Math.floor(machines + this.cluster.ctx.tuning.machines.rent_round_up) - this.beingRented(kind);
+    for (const { kind, machines, least } of need.values()) {
+      const rounded = Math.floor(machines + this.cluster.ctx.tuning.machines.rent_round_up);
+      const n = Math.max(least, rounded) - this.beingRented(kind);
       if (n > 0) this.rent(kind, Math.min(n, RENT_AT_ONCE));
     }
     this.fillGuarantees();
@@ -221,7 +224,7 @@
     return n;
   }
 
-  private lateTasks(round: RoundResult): { job: PlanJob; tasks: number }[] {
+  private lateTasks(round: RoundResult): { job: PlanJob; tasks: number; unplaced: boolean }[] {
     const margin = this.cluster.ctx.tuning.machines.rent_margin_s;
     const late = new Map<number, number>();
     const add = (slot: number, n: number): void => {
@@ -237,7 +240,11 @@
       if (s.startAtS > soonest + margin) add(s.job, s.tasks);
     }
     for (const [slot, n] of round.plan.unplaced) add(slot, n);
-    return [...late].map(([slot, tasks]) => ({ job: round.planJobs[slot] as PlanJob, tasks }));
+    return [...late].map(([slot, tasks]) => ({
+      job: round.planJobs[slot] as PlanJob,
+      tasks,
+      unplaced: (round.plan.unplaced.get(slot) ?? 0) > 0,
+    }));
   }
 
   private machinesFor(job: PlanJob, type: MachineType, tasks: number): number {
@@ -331,7 +338,13 @@
       const ids = r.value.rented ?? [];
       if (ids.length < count) this.noteRefusal(key);
       else this.refusedUntil.delete(key);
-      ctx.log('info', 'rented', { type: kind.type.name, zone: kind.zone, spot: kind.spot, asked: count, got: ids.length });
+      ctx.log('info', 'rented', {
+        type: kind.type.name,
+        zone: kind.zone,
+        spot: kind.spot,
+        asked: count,
+        got: ids.length,
+      });
       for (const id of ids) {
         if (this.cluster.machines.has(id) || this.cluster.gone.has(id)) continue;
         const m = new Machine(id, kind.type, kind.zone, kind.spot, '', true, 'booting', rental.since);
--- a/src/core/buckets.ts
+++ b/src/core/buckets.ts
@@ -73,6 +73,8 @@
   /** Sends what the buckets allow; returns when to look again, or null if nothing waits. */
   pump(now: Steady): Steady | null {
     let again: Steady | null = null;
+    // Without call tokens nothing lower may pass, but what has waited too long is still given up.
+    let dry = false;
     const lookAgain = (at: Steady): void => {
       if (again === null || at < again) again = at;
     };
@@ -91,12 +93,12 @@
             lookAgain(Math.min(this.pausedUntil, first.expires) as Steady);
             break;
           }
-          const wait = this.calls.has(first.cost, now) ? 0 : this.calls.waitMs(first.cost, now);
+          const wait = dry || !this.calls.has(first.cost, now) ? this.calls.waitMs(first.cost, now) : 0;
           const held = this.writes && !this.writes.has(first.writes, now) ? this.writes.waitMs(first.writes, now) : 0;
-          if (wait > 0 || held > 0) {
+          if (dry || wait > 0 || held > 0) {
             lookAgain(Math.min(now + Math.max(1, wait, held), first.expires) as Steady);
-            // Without call tokens nothing lower may pass; without write tokens reads still may.
-            if (wait > 0) return again;
+            if (wait > 0) dry = true;
+            // Without write tokens reads may still go.
             break;
           }
         }
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -1,4 +1,4 @@
-import { CallQueue, type CallPriority, TokenBucket } from './buckets.js';
+import { type CallPriority, CallQueue, TokenBucket } from './buckets.js';
 import type {
   CallId,
   CloudOp,
--- a/src/core/desk.ts
+++ b/src/core/desk.ts
@@ -1,8 +1,8 @@
 import type { Context } from './context.js';
 import type { StoredItem, UserAnswer, UserMood, UserRequest } from './messages.js';
 import { withinLimit } from './quotas.js';
-import { decodeJob, encodeJob, type JobRecord, jobKey } from './records.js';
 import { RangeSet } from './ranges.js';
+import { decodeJob, encodeJob, type JobRecord, jobKey } from './records.js';
 import { ABSENT, type JobId, type JobSpec, type MachineType, type TypeName } from './types.js';
 
 type Answer = (answer: UserAnswer) => void;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -6,8 +6,8 @@
   MachineId,
   MachineType,
   Resources,
-  Session,
   Seq,
+  Session,
   Steady,
   TypeName,
   ZoneName,
@@ -30,6 +30,9 @@
   fetchingSince: Steady | null;
 }
 
+/** After so many report periods without a word a machine gets no new work. */
+export const QUIET_REPORTS = 2.5;
+
 export class Machine {
   addr: string;
   phase: 'booting' | 'up' | 'leaving';
@@ -86,10 +89,11 @@
     return this.type.name;
   }
 
-  /** Whether new work may be given to it. */
-  usable(now: Steady): boolean {
+  /** Whether new work may be given to it. A machine not heard of lately may never take what it is given. */
+  usable(now: Steady, reportMs: number): boolean {
     return (
       this.phase === 'up' &&
+      now - this.lastHeardAt < QUIET_REPORTS * reportMs &&
       this.accounted &&
       this.draining === null &&
       this.noticeUntil === null &&
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -1,6 +1,6 @@
 import type { Machine } from './fleet.js';
-import type { JobRecord, JobState } from './records.js';
 import { RangeSet } from './ranges.js';
+import type { JobRecord, JobState } from './records.js';
 import type { Attempt, JobId, JobSpec, Revision, Seq, Steady, Wall, ZoneName } from './types.js';
 
 export type PlacementPhase =
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -2,7 +2,7 @@
 import { Cluster } from './cluster.js';
 import type { Context } from './context.js';
 import { DRIFT, type Election, type Leadership, leaderCondition } from './election.js';
-import { Machine } from './fleet.js';
+import { Machine, QUIET_REPORTS } from './fleet.js';
 import type { Job } from './jobs.js';
 import type { Change, Condition, RequestId, StoredItem, StoreEvent, WorkerAnswer } from './messages.js';
 import { RangeSet } from './ranges.js';
@@ -243,8 +243,7 @@
 
   onBeat(req: RequestId, report: WorkerReport): void {
     if (!this.valid()) return this.ctx.answerWorker(req, { status: 503 });
-    const answer = (): void =>
-      this.ctx.answerWorker(req, { status: 200, token: this.leadership.token, commands: [] });
+    const answer = (): void => this.ctx.answerWorker(req, { status: 200, token: this.leadership.token, commands: [] });
     if (report.token > this.leadership.token) return this.ctx.answerWorker(req, { status: 503 });
     if (!this.loaded) return answer();
     if (this.cluster.gone.has(report.machine)) return this.ctx.answerWorker(req, { status: 503 });
@@ -346,7 +345,11 @@
   /** The last look before a start goes out. */
   private mayStart(job: Job, m: Machine): boolean {
     return (
-      job.state === 'accepted' && job.durableState === 'accepted' && job.durableStartTerm > 0 && !job.broken && m.registered
+      job.state === 'accepted' &&
+      job.durableState === 'accepted' &&
+      job.durableStartTerm > 0 &&
+      !job.broken &&
+      m.registered
     );
   }
 
@@ -403,6 +406,10 @@
     const { leaseMs } = this.ctx.settings.workers;
     const emptyAfter = leaseMs * (1 + DRIFT) + 1000;
     for (const m of this.cluster.machines.values()) {
+      // What a silent machine was only meant to get goes elsewhere.
+      if (m.phase === 'up' && now - m.lastHeardAt > QUIET_REPORTS * this.ctx.settings.workers.reportMs) {
+        for (const p of [...m.placements.values()]) if (p.phase === 'planned') this.cluster.release(p);
+      }
       if (m.phase === 'booting' || now - m.lastHeardAt <= emptyAfter) continue;
       if (m.accounted && m.placements.size === 0) continue;
       // Nobody has answered it for longer than its lease, not even an earlier leader: whatever it held is gone.
@@ -564,7 +571,8 @@
       job.durableStartTerm = s.startTerm;
       job.durableDone = RangeSet.from(s.done);
     }
-    if (job.needsWrite === 'no' && job.state !== 'accepted' && job.placements.size === 0) this.cluster.active.delete(job);
+    if (job.needsWrite === 'no' && job.state !== 'accepted' && job.placements.size === 0)
+      this.cluster.active.delete(job);
     if (job.needsWrite === 'now') this.ctx.timers.set('flush', this.ctx.now.steady);
   }
 
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -110,7 +110,13 @@
 export type UserMood = 'queued' | 'running' | 'done' | 'cancelled';
 
 export type UserAnswer =
-  | { readonly status: 200 | 201; readonly id: JobId; readonly mood: UserMood; readonly done: number; readonly running: number }
+  | {
+      readonly status: 200 | 201;
+      readonly id: JobId;
+      readonly mood: UserMood;
+      readonly done: number;
+      readonly running: number;
+    }
   | { readonly status: 400 | 404 | 422 | 503; readonly problem: string; readonly retryAfterS?: number };
 
 export type WorkerAnswer =
--- a/src/core/scheduler/evolution.ts
+++ b/src/core/scheduler/evolution.ts
@@ -1,6 +1,6 @@
 import { type RandomGenerator, unsafeUniformIntDistribution } from 'pure-rand';
 import type { ZoneName } from '../types.js';
-import type { Plan, Planner, PlanJob, PlanMachine } from './planner.js';
+import type { Plan, PlanJob, PlanMachine, Planner } from './planner.js';
 
 export interface SearchSettings {
   readonly individuals: number;
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -125,7 +125,8 @@
   const unaccounted = cluster.countUnaccounted();
   const machines: Machine[] = [];
   for (const m of cluster.machines.values()) {
-    if (m.usable(now) || (m.phase === 'booting' && !m.deleting && m.draining === null)) machines.push(m);
+    if (m.usable(now, ctx.settings.workers.reportMs) || (m.phase === 'booting' && !m.deleting && m.draining === null))
+      machines.push(m);
   }
   const planMachines = machines.map((m, slot) => planMachine(cluster, m, slot, now));
   const guaranteed = guaranteedTeams(cluster);
@@ -214,7 +215,12 @@
 /** Whether one more task of the job may go to this machine, by its job's wishes and the room really free. */
 export function mayHost(cluster: Cluster, job: Job, m: Machine): boolean {
   const { spec } = job;
-  if (!m.usable(cluster.ctx.now.steady) || !m.fits(spec) || cluster.quotas.room(spec) < 1) return false;
+  if (
+    !m.usable(cluster.ctx.now.steady, cluster.ctx.settings.workers.reportMs) ||
+    !m.fits(spec) ||
+    cluster.quotas.room(spec) < 1
+  )
+    return false;
   if (!couldHost(job, m.type, m.zone) || (m.spot && !spec.spotOk)) return false;
   if (spec.sameZone) for (const p of job.placements.values()) if (p.machine.zone !== m.zone) return false;
   return !spec.spread || (job.zoneCounts().get(m.zone) ?? 0) < job.zoneLimit;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -76,15 +76,7 @@
 }
 
 export type TaskPhase = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
-export type ExitReason =
-  | 'done'
-  | 'stopped'
-  | 'peers_gone'
-  | 'alone'
-  | 'error'
-  | 'no_room'
-  | 'busy'
-  | 'unknown';
+export type ExitReason = 'done' | 'stopped' | 'peers_gone' | 'alone' | 'error' | 'no_room' | 'busy' | 'unknown';
 
 export interface TaskReport {
   readonly job: JobId;
--- a/src/io/front.ts
+++ b/src/io/front.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server } from 'node:http';
 import { getRequestListener } from '@hono/node-server';
-import { type Context as HonoContext, Hono } from 'hono';
+import { Hono, type Context as HonoContext } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
 import type { UserAnswer, UserRequest, WorkerAnswer } from '../core/messages.js';
 import type { JobId, WorkerReport } from '../core/types.js';
--- a/src/io/peer_codec.ts
+++ b/src/io/peer_codec.ts
@@ -150,7 +150,7 @@
     memGb,
     image,
     imageGb,
-    types: types === null ? null : (types === '' ? [] : (types.split('\n') as never[])),
+    types: types === null ? null : types === '' ? [] : (types.split('\n') as never[]),
     zone,
     sameZone: (bits & 1) !== 0,
     spread: (bits & 2) !== 0,
--- a/src/io/runtime.ts
+++ b/src/io/runtime.ts
@@ -9,7 +9,15 @@
 import { HttpClient, type Reply } from './http_client.js';
 import type { Log } from './log.js';
 import { PeerLink } from './peer_link.js';
-import { COMMANDS_PATH, decodeCloud, decodeDirect, decodeStore, encodeCloud, encodeDirect, encodeStore } from './wire.js';
+import {
+  COMMANDS_PATH,
+  decodeCloud,
+  decodeDirect,
+  decodeStore,
+  encodeCloud,
+  encodeDirect,
+  encodeStore,
+} from './wire.js';
 
 const CLOUD_TIMEOUT_MS = 4000;
 const WORKER_TIMEOUT_MS = 2500;
@@ -76,9 +84,10 @@
       this.log('error', 'cannot listen', { listen, error: e.message });
       process.exit(1);
     });
-    this.front.listen(Number(listen.slice(colon + 1)), listen.slice(0, colon));
+    this.front.listen(Number(listen.slice(colon + 1)), listen.slice(0, colon), () => {
+      this.log('info', 'started', { listen, peers: this.platform.peers.length });
+    });
     this.peers.listen(this.platform.peerListen);
-    this.log('info', 'started', { listen, peers: this.platform.peers.length });
     this.step({ kind: 'start' });
   }
 
--- a/src/io/wire.ts
+++ b/src/io/wire.ts
@@ -35,7 +35,19 @@
   type WorkerReport,
   type ZoneName,
 } from '../core/types.js';
-import { amount, amountOrNull, type Fields, fields, flag, list, oneOf, text, textOrNull, uint, WireError } from './fields.js';
+import {
+  amount,
+  amountOrNull,
+  type Fields,
+  fields,
+  flag,
+  list,
+  oneOf,
+  text,
+  textOrNull,
+  uint,
+  WireError,
+} from './fields.js';
 
 /** The names of the wire stand here and nowhere else. */
 const SHAPES: Readonly<Record<string, Shape>> = { batch: 'array', ensemble: 'gang' };
@@ -316,7 +328,11 @@
     case 'list':
       return {
         ok: true,
-        value: { items: list(f, 'entries').map(decodeItem), more: f.has_next === true, revision: revision(uint(f, 'molt')) },
+        value: {
+          items: list(f, 'entries').map(decodeItem),
+          more: f.has_next === true,
+          revision: revision(uint(f, 'molt')),
+        },
       };
     case 'txn':
       return { ok: true, value: { revision: revision(uint(f, 'molt')) } };
--- /dev/null
+++ b/test/codec.test.ts
@@ -0,0 +1,194 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { UserAnswer, UserRequest } from '../src/core/messages.js';
+import type { Attempt, JobId, NodeName, Token } from '../src/core/types.js';
+import { revision } from '../src/core/types.js';
+import { decode, encode } from '../src/io/cbor.js';
+import { WireError } from '../src/io/fields.js';
+import { encodeFrame, FRAME_MAX, FrameSplitter, PEER_VERSION, type PeerFrame } from '../src/io/peer_codec.js';
+import {
+  decodeCloud,
+  decodeJob,
+  decodeReport,
+  decodeStore,
+  encodeStore,
+  encodeUserAnswer,
+  encodeWorkerAnswer,
+} from '../src/io/wire.js';
+
+const job = {
+  ref: 'job-000412',
+  flock: 'train',
+  crew: 'vision',
+  shape: 'ensemble',
+  rank: 'urgent',
+  chicks: 16,
+  cpus: 8.0,
+  gpus: 1.0,
+  mem_gb: 64.0,
+  plumage: 'img-07',
+  image_gb: 6.2,
+  breeds: ['g8'],
+  grove: null,
+  same_place: true,
+  apart: false,
+  loaners: true,
+  flight_s: 240.0,
+  cache_s: 30.0,
+  stash_s: 4.0,
+  due_s: 900.0,
+};
+
+const report = {
+  perch: 'i-000231',
+  addr: '10.1.0.232:9000',
+  breed: 'g8',
+  grove: 'a',
+  loaners: true,
+  roost: 1,
+  chirp: 88,
+  crest: 41,
+  warning_s: null,
+  chicks: [
+    { chick: 'job-000412/3', hop: 2, mood: 'running' },
+    { chick: 'job-000398/0', hop: 1, mood: 'exited', cause: 'done' },
+  ],
+};
+
+test('64-bit counts and tokens pass through CBOR whole', () => {
+  const big = (1n << 64n) - 1n;
+  const there = decodeReport(decode(encode({ ...report, crest: big, chirp: (1n << 53n) + 1n })));
+  assert.equal(there.token, big);
+  assert.equal(there.seq, (1n << 53n) + 1n);
+  const answer = encodeWorkerAnswer({ status: 200, token: big as Token, commands: [] });
+  assert.equal((decode(encode(answer)) as { crest: bigint }).crest, big);
+});
+
+test('a job and a report are read as typed values, unknown fields ignored', () => {
+  const spec = decodeJob({ ...job, colour: 'green' });
+  assert.equal(spec.shape, 'gang');
+  assert.equal(spec.rank, 2);
+  assert.equal(spec.deadlineS, 900);
+  assert.deepEqual(spec.types, ['g8']);
+  const r = decodeReport({ ...report, mystery: [1, 2] });
+  assert.equal(r.tasks.length, 2);
+  assert.deepEqual([r.tasks[0]?.index, r.tasks[0]?.attempt, r.tasks[1]?.reason], [3, 2n, 'done']);
+  const { breeds: _, grove: __, due_s: ___, ...without } = job;
+  assert.equal(decodeJob(without).types, null);
+  assert.equal(decodeJob(without).deadlineS, null);
+});
+
+test('malformed jobs and reports are refused', () => {
+  const bad: Record<string, unknown>[] = [
+    { shape: 'daemon' },
+    { shape: 'toString' },
+    { cpus: -1 },
+    { gpus: Number.POSITIVE_INFINITY },
+    { mem_gb: Number.NaN },
+    { chicks: 0 },
+    { chicks: 100_001 },
+    { chicks: 1.5 },
+    { ref: 'job-' },
+    { ref: '../job-1' },
+    { rank: 3 },
+    { breeds: [1] },
+    { same_place: 'yes' },
+    { crew: undefined },
+  ];
+  for (const b of bad) assert.throws(() => decodeJob({ ...job, ...b }), WireError, JSON.stringify(b));
+  for (const b of [
+    { chicks: {} },
+    { chicks: [{ chick: 'job-1', hop: 1, mood: 'running' }] },
+    { crest: -1 },
+    { chirp: 'x' },
+  ]) {
+    assert.throws(() => decodeReport({ ...report, ...b }), WireError, JSON.stringify(b));
+  }
+  assert.throws(() => decodeReport(null), WireError);
+});
+
+test('answers carry the wire names', () => {
+  const id = 'job-000412' as JobId;
+  assert.deepEqual(encodeUserAnswer({ status: 200, id, mood: 'cancelled', done: 3, running: 0 }), {
+    ref: id,
+    mood: 'withdrawn',
+    done: 3,
+    running: 0,
+  });
+  const stop = { op: 'stop', job: id, index: 1, attempt: 7n as Attempt, graceS: 10 } as const;
+  assert.deepEqual(encodeWorkerAnswer({ status: 200, token: 41n as Token, commands: [stop] }), {
+    crest: 41n,
+    calls: [{ call: 'stop', chick: 'job-000412/1', hop: 7n, settle_s: 10 }],
+  });
+  assert.deepEqual(encodeWorkerAnswer({ status: 421, reportTo: 'perch-2' as NodeName }), { nest: 'perch-2' });
+});
+
+test('state-service answers are told apart by status', () => {
+  const get = { op: 'get', key: 'a/b' } as const;
+  assert.deepEqual(decodeStore(get, 404, { molt: 431 }), { ok: true, value: { item: null, revision: revision(431) } });
+  const found = decodeStore(get, 200, { k: 'a/b', data: { x: 1 }, feather: 412, tether: 7 });
+  assert.ok(found.ok && found.value.item?.version === 412n);
+  const txn = { op: 'txn', conditions: [], changes: [] } as const;
+  for (const [status, why] of [
+    [409, 'conflict'],
+    [429, 'refused'],
+    [503, 'refused'],
+    [400, 'rejected'],
+    [500, 'unknown'],
+  ] as const) {
+    assert.deepEqual(decodeStore(txn, status, null), { ok: false, why });
+  }
+  assert.deepEqual(decodeStore({ op: 'renew', lease: 7n as never }, 404, null), { ok: false, why: 'gone' });
+  assert.deepEqual(
+    encodeStore({ op: 'watch', prefix: 'j/', after: revision(431), waitMs: 100 }).path,
+    '/follow?under=j/&after=431&wait_ms=100',
+  );
+});
+
+test('a cloud without capacity is not a cloud in trouble', () => {
+  const rent = { op: 'rent', request: 'r-1', type: 'g8', zone: 'a', spot: true, count: 1 } as never;
+  assert.deepEqual(decodeCloud(rent, 503, { error: 'no capacity' }), { ok: false, why: 'no_capacity' });
+  assert.deepEqual(decodeCloud(rent, 503, { error: 'trouble' }), { ok: false, why: 'refused' });
+});
+
+const spec = decodeJob(job);
+const frames: PeerFrame[] = [
+  { kind: 'hello', node: 'perch-1' as NodeName },
+  { kind: 'status', status: { leading: true, storeOk: false, workersHeardMs: 1234 } },
+  { kind: 'status', status: { leading: false, storeOk: true, workersHeardMs: -1 } },
+  { kind: 'relay', id: 7, request: { op: 'submit', id: spec.id, spec, problem: '' } },
+  { kind: 'relay', id: 8, request: { op: 'submit', id: spec.id, spec: null, problem: 'crew is not a text' } },
+  {
+    kind: 'relay',
+    id: 8,
+    request: { op: 'submit', id: spec.id, spec: { ...spec, types: null, deadlineS: null }, problem: '' },
+  },
+  { kind: 'relay', id: 9, request: { op: 'poll', id: spec.id } as UserRequest },
+  { kind: 'relayed', id: 7, answer: { status: 201, id: spec.id, mood: 'queued', done: 0, running: 0 } },
+  { kind: 'relayed', id: 8, answer: { status: 503, problem: 'später', retryAfterS: 1 } as UserAnswer },
+  { kind: 'relayed', id: 9, answer: { status: 404, problem: 'no such job' } },
+];
+
+test('peer frames come back as they went, however the stream is cut', () => {
+  const stream = Buffer.concat(frames.map(encodeFrame));
+  for (const size of [1, 3, 7, 64, stream.length]) {
+    const splitter = new FrameSplitter();
+    const got: PeerFrame[] = [];
+    for (let i = 0; i < stream.length; i += size) got.push(...splitter.push(stream.subarray(i, i + size)));
+    assert.deepEqual(got, frames);
+  }
+});
+
+test('peer frames out of bounds, of another version or cut short are refused', () => {
+  const good = encodeFrame(frames[0] as PeerFrame);
+  const long = Buffer.from(good);
+  long.writeUInt32BE(FRAME_MAX + 1, 0);
+  const other = Buffer.from(good);
+  other.writeUInt8(PEER_VERSION + 1, 4);
+  const kind = Buffer.from(good);
+  kind.writeUInt8(99, 5);
+  const short = Buffer.from(good);
+  short.writeUInt32BE(5, 6);
+  short.writeUInt32BE(0xffff, 6);
+  for (const b of [long, other, kind, short]) assert.throws(() => new FrameSplitter().push(b));
+});
--- /dev/null
+++ b/test/core.test.ts
@@ -0,0 +1,172 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { xoroshiro128plus } from 'pure-rand';
+import { CallQueue, TokenBucket } from '../src/core/buckets.js';
+import { Estimates } from '../src/core/estimates.js';
+import { RangeSet } from '../src/core/ranges.js';
+import { Evolution } from '../src/core/scheduler/evolution.js';
+import { type PlanJob, type PlanMachine, Planner } from '../src/core/scheduler/planner.js';
+import { rankValue } from '../src/core/scheduler/priority.js';
+import type { ImageName, MachineType, Steady, TypeName, ZoneName } from '../src/core/types.js';
+import { makeSpec } from './sim/scenario.js';
+
+test('range sets: any order of additions gives the same few ranges', () => {
+  const set = new RangeSet();
+  for (const n of [5, 3, 4, 9, 0, 1, 2, 4]) set.add(n);
+  assert.deepEqual(set.pairs(), [
+    [0, 5],
+    [9, 9],
+  ]);
+  assert.equal(set.count, 7);
+  assert.ok(set.has(4) && !set.has(6));
+  assert.deepEqual(RangeSet.from(set.pairs()).pairs(), set.pairs());
+  const many = new RangeSet();
+  for (let n = 0; n < 100_000; n++) many.add((n * 7919) % 100_000);
+  assert.deepEqual(many.pairs(), [[0, 99_999]]);
+});
+
+test('token buckets: renewals pass an empty bucket, the rest goes by priority, nothing waits for ever', () => {
+  const bucket = new TokenBucket(10, 10, 0 as Steady);
+  const queue = new CallQueue<string>(bucket, null);
+  const sent: string[] = [];
+  const add = (p: 0 | 1 | 2 | 3 | 4, name: string, expires = 10_000): void =>
+    queue.add(p, {
+      op: name,
+      cost: 1,
+      writes: 0,
+      expires: expires as Steady,
+      send: () => sent.push(name),
+      giveUp: () => sent.push(`${name} given up`),
+    });
+  for (let i = 0; i < 10; i++) add(3, 'slow');
+  queue.pump(0 as Steady);
+  sent.length = 0;
+  add(3, 'later');
+  add(2, 'read', 50);
+  add(1, 'record');
+  add(0, 'renew');
+  const next = queue.pump(0 as Steady);
+  assert.deepEqual(sent, ['renew']);
+  assert.ok(next !== null && next > 0);
+  queue.pump(60 as Steady);
+  assert.ok(sent.includes('read given up'));
+  queue.pump(1000 as Steady);
+  assert.deepEqual(sent.slice(-2), ['record', 'later']);
+});
+
+test('estimates: a class that runs long is expected to, with care while little was seen', () => {
+  const e = new Estimates();
+  const spec = makeSpec('job-1', 'array', { estimate: '10' });
+  assert.equal(e.expectS(spec), 10);
+  e.observe(spec, 40);
+  const once = e.expectS(spec);
+  assert.ok(once > 10 && once < 15);
+  for (let i = 0; i < 100; i++) e.observe(spec, 40);
+  assert.ok(Math.abs(e.expectS(spec) - 40) < 5);
+});
+
+test('ranking: small and short first, and waiting makes up for size', () => {
+  const small = makeSpec('job-1', 'array', { cpus: '1', estimate: '10' });
+  const large = makeSpec('job-2', 'gang', { gpus: '4', estimate: '100' });
+  assert.ok(rankValue(small, 1, 10, 0) < rankValue(large, 2, 100, 0));
+  assert.ok(rankValue(small, 1, 10, 0) > rankValue(large, 2, 100, 600));
+});
+
+const type = (name: string, cpus: number, gpus: number): MachineType => ({
+  name: name as TypeName,
+  cpus,
+  gpus,
+  memGb: 64,
+  cacheGb: 50,
+  fetchGbPerS: 1,
+  price: 1,
+  spotPrice: 0.5,
+  bootS: 30,
+  zones: ['a' as ZoneName],
+});
+
+function machine(slot: number, zone: string, t: MachineType, freeCpus: number, fetchS = 0): PlanMachine {
+  return {
+    slot,
+    zone: zone as ZoneName,
+    type: t,
+    spot: false,
+    times: freeCpus < t.cpus ? [0, 20] : [0],
+    cpus: freeCpus < t.cpus ? [freeCpus, t.cpus] : [t.cpus],
+    gpus: freeCpus < t.cpus ? [t.gpus, t.gpus] : [t.gpus],
+    mem: freeCpus < t.cpus ? [64, 64] : [64],
+    fetchS: () => fetchS,
+  };
+}
+
+function planJob(slot: number, over: Partial<PlanJob>): PlanJob {
+  return {
+    slot,
+    gang: false,
+    tasks: 1,
+    durationS: 10,
+    cpus: 1,
+    gpus: 0,
+    memGb: 1,
+    image: 'i' as ImageName,
+    imageGb: 1,
+    types: null,
+    spotOk: true,
+    sameZone: false,
+    zoneRoom: null,
+    zones: ['a' as ZoneName],
+    weight: 1,
+    waitedS: 0,
+    avoid: null,
+    ...over,
+  };
+}
+
+const planner = (): Planner => new Planner({ average: 1, maximum: 1, idle: 1 });
+const a = 'a' as ZoneName;
+const b = 'b' as ZoneName;
+
+test('planner: earliest start counts the image fetch; ties go to the machine with least room', () => {
+  const c8 = type('c8', 8, 0);
+  const cached = planner().plan([machine(0, 'a', c8, 8, 30), machine(1, 'a', c8, 8, 0)], [planJob(0, {})], [a]);
+  assert.equal(cached.starts[0]?.machine, 1);
+  const tight = planner().plan([machine(0, 'a', c8, 8), machine(1, 'a', c8, 3)], [planJob(0, {})], [a]);
+  assert.equal(tight.starts[0]?.machine, 1);
+});
+
+test('planner: a gang waits for room for all of it, and later jobs don’t take that room', () => {
+  const c8 = type('c8', 8, 0);
+  const jobs = [planJob(0, { gang: true, tasks: 2, cpus: 8 }), planJob(1, { cpus: 8, durationS: 60 })];
+  const plan = planner().plan([machine(0, 'a', c8, 8), machine(1, 'a', c8, 2)], jobs, [a, a]);
+  const gang = plan.starts.filter((s) => s.job === 0);
+  assert.deepEqual(
+    gang.map((s) => s.startAtS),
+    [20, 20],
+  );
+  assert.ok((plan.starts.find((s) => s.job === 1)?.startAtS ?? 0) >= 30);
+});
+
+test('planner: a spread job keeps to its zones’ limits', () => {
+  const c8 = type('c8', 8, 0);
+  const zoneRoom = new Map([
+    [a, 3],
+    [b, 3],
+  ]);
+  const job = planJob(0, { tasks: 5, zones: [a, b], zoneRoom });
+  const plan = planner().plan([machine(0, 'a', c8, 8), machine(1, 'b', c8, 8)], [job], [a]);
+  const inA = plan.starts.filter((s) => s.machine === 0).reduce((n, s) => n + s.tasks, 0);
+  assert.equal(inA, 3);
+});
+
+test('evolution: finds the zones that end waits, the same way for the same seed, within its plan steps', () => {
+  const c8 = type('c8', 8, 0);
+  const machines = [machine(0, 'a', c8, 8), machine(1, 'b', c8, 8)];
+  const jobs = Array.from({ length: 8 }, (_, i) => planJob(i, { cpus: 2, durationS: 30, zones: [a, b] }));
+  const settings = { individuals: 20, generations: 15, mutation: 0.1, planSteps: 1_000_000 };
+  const search = (seed: number, steps = 1_000_000) =>
+    new Evolution(planner(), xoroshiro128plus(seed), { ...settings, planSteps: steps }).search(machines, jobs);
+  const best = search(1);
+  assert.ok(best.starts.every((s) => s.startAtS === 0));
+  assert.equal(search(1).cost, best.cost);
+  assert.ok(search(2, 50).starts.length > 0);
+});
--- /dev/null
+++ b/test/property.test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { ImageName, JobId, MachineId, Team, TeamName, TypeName, ZoneName } from '../src/core/types.js';
+import { events, makeSpec, tuning } from './sim/scenario.js';
+import { World } from './sim/world.js';
+
+const DAY_S = 260;
+const QUIET_S = 420;
+
+const zones = ['a', 'b'] as ZoneName[];
+const types = [
+  {
+    name: 'c8' as TypeName,
+    cpus: 8,
+    gpus: 0,
+    memGb: 32,
+    cacheGb: 20,
+    fetchGbPerS: 0.5,
+    price: 0.4,
+    spotPrice: 0.1,
+    bootS: 15,
+    zones,
+  },
+  {
+    name: 'g4' as TypeName,
+    cpus: 24,
+    gpus: 4,
+    memGb: 144,
+    cacheGb: 20,
+    fetchGbPerS: 0.5,
+    price: 10,
+    spotPrice: 3,
+    bootS: 15,
+    zones,
+  },
+];
+const team = (name: string, gpus: number, gpusMax: number): Team => ({
+  name: name as TeamName,
+  cpus: 0,
+  cpusMax: 0,
+  gpus,
+  gpusMax,
+});
+const teams = [team('red', 4, 8), team('blue', 0, 0)];
+
+/** A day of random jobs and random troubles: whatever happens, no rule breaks, and once all is quiet all work ends. */
+function randomDay(seed: number): World {
+  const world = new World({ seed, nodes: 3, zones, teams, types, capacity: 14, tuning });
+  const { clock } = world;
+  for (let i = 0; i < 4; i++) {
+    world.cloud.add(types[i % 2] as (typeof types)[0], clock.pick(zones), clock.between(0, 1) < 0.4, 1);
+  }
+  world.startNodes();
+  for (let i = 0; i < 16; i++) addJob(world, i, clock.between(1, DAY_S * 0.8));
+  const troubles = Math.floor(clock.between(5, 12));
+  for (let i = 0; i < troubles; i++) addTrouble(world, clock.between(5, DAY_S));
+  clock.runUntil((DAY_S + QUIET_S) * 1000);
+  return world;
+}
+
+function addJob(world: World, i: number, atS: number): void {
+  const { clock } = world;
+  const gang = clock.between(0, 1) < 0.35;
+  const gpu = clock.between(0, 1) < 0.5;
+  const options: Record<string, string> = {
+    tasks: String(gang ? clock.pick([1, 2, 3]) : clock.pick([1, 4, 9, 25])),
+    run: String(clock.pick([3, 8, 20])),
+    estimate: String(clock.pick([2, 8, 30])),
+    cpus: String(clock.pick([1, 2, 4])),
+    gpus: gpu ? '1' : '0',
+    team: clock.pick(['red', 'blue']),
+    checkpoint: clock.pick(['0', '5']),
+    rank: clock.pick(['0', '1', '2']),
+  };
+  if (clock.between(0, 1) < 0.6) options.spot = 'yes';
+  if (clock.between(0, 1) < 0.3) options.sameZone = 'yes';
+  else if (clock.between(0, 1) < 0.2) options.spread = 'yes';
+  if (clock.between(0, 1) < 0.2) options.zone = options.spread ? '' : clock.pick(zones);
+  if (!options.zone) delete options.zone;
+  const spec = { ...makeSpec(`job-${100 + i}`, gang ? 'gang' : 'array', options), image: `img-${i % 4}` as ImageName };
+  clock.in(atS * 1000, () => world.submit(spec, Number(options.run) * 1000));
+  if (clock.between(0, 1) < 0.2) clock.in((atS + clock.between(0, 20)) * 1000, () => world.cancel(spec.id));
+}
+
+function addTrouble(world: World, atS: number): void {
+  const { clock } = world;
+  const node = clock.pick(['perch-0', 'perch-1', 'perch-2', 'leader', 'leader']);
+  const secs = (lo: number, hi: number): string => String(clock.between(lo, hi));
+  const mode = clock.pick(['drop', 'hold']);
+  const machine = (): string => clock.pick([...world.workers.keys(), 'none' as MachineId]);
+  const choices: [string, () => string[]][] = [
+    ['crash', () => [node, secs(0.1, 6)]],
+    ['crash', () => ['all', secs(0.1, 6)]],
+    ['outage', () => [secs(1, 25)]],
+    ['refuse', () => [node, secs(3, 30)]],
+    ['cut', () => [node, clock.pick(['state', 'workers', 'cloud', '*', 'users', 'perch-0']), secs(2, 30), mode]],
+    ['cut', () => [machine(), '*', secs(2, 30), mode]],
+    ['hang', () => [machine(), secs(2, 30)]],
+    ['sick', () => [machine()]],
+    ['slow', () => [machine(), '4']],
+    ['notice', () => [machine(), secs(4, 12)]],
+    ['take', () => [machine()]],
+    ['fail', () => [machine()]],
+    ['cloud-outage', () => [secs(3, 20)]],
+    ['never-boot', () => ['1']],
+  ];
+  const [name, words] = clock.pick(choices);
+  clock.in(atS * 1000, () => events[name]?.(world, words()));
+}
+
+const seeds = process.env.SEEDS ? Number(process.env.SEEDS) : 80;
+const from = process.env.SEED_FROM ? Number(process.env.SEED_FROM) : 1;
+
+test(`random days of troubles keep every rule (${seeds} seeds)`, () => {
+  for (let seed = from; seed < from + seeds; seed++) {
+    const world = randomDay(seed);
+    assert.deepEqual(world.rules.broken, [], `seed ${seed} broke a rule`);
+    assert.deepEqual(world.errors, [], `seed ${seed} logged an error`);
+    const open = [...world.rules.submitted.keys()].filter(
+      (id: JobId) => world.rules.isAccepted(id) && !world.rules.finalOf(id),
+    );
+    assert.deepEqual(open, [], `seed ${seed} left accepted jobs without an end`);
+  }
+});
+
+test('a day with the same seed is the same day', () => {
+  const a = randomDay(7);
+  const b = randomDay(7);
+  assert.equal(a.rules.starts, b.rules.starts);
+  assert.equal(a.state.writes, b.state.writes);
+});
--- /dev/null
+++ b/test/service.test.ts
@@ -0,0 +1,222 @@
+import assert from 'node:assert/strict';
+import { spawn, spawnSync } from 'node:child_process';
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { request, type Server } from 'node:http';
+import { type AddressInfo, connect } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import type { UserAnswer, UserRequest, WorkerAnswer } from '../src/core/messages.js';
+import type { Token, WorkerReport } from '../src/core/types.js';
+import { decode, encode } from '../src/io/cbor.js';
+import { makeFront } from '../src/io/front.js';
+
+const root = fileURLToPath(new URL('../../../', import.meta.url));
+const main = join(root, 'target/check/src/main.js');
+const seen: UserRequest[] = [];
+const reports: WorkerReport[] = [];
+let server: Server;
+let port = 0;
+
+before(async () => {
+  server = makeFront(
+    {
+      user: async (r): Promise<UserAnswer> => {
+        seen.push(r);
+        if (r.op === 'submit' && r.spec === null) return { status: 400, problem: r.problem };
+        if (r.op === 'poll') return { status: 503, problem: 'busy', retryAfterS: 1 };
+        return { status: 201, id: r.id, mood: 'queued', done: 0, running: 0 };
+      },
+      beat: async (r): Promise<WorkerAnswer> => {
+        reports.push(r);
+        return { status: 200, token: 5n as Token, commands: [] };
+      },
+      healthy: () => true,
+      malformed: () => {},
+    },
+    200,
+  );
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  port = (server.address() as AddressInfo).port;
+});
+
+after(() => {
+  server.closeAllConnections();
+  server.close();
+});
+
+interface Got {
+  status: number;
+  headers: NodeJS.Dict<string | string[]>;
+  body: Record<string, unknown>;
+}
+
+function ask(method: string, path: string, body?: Buffer): Promise<Got> {
+  return new Promise((resolve, reject) => {
+    const req = request({ port, host: '127.0.0.1', method, path }, (res) => {
+      const parts: Buffer[] = [];
+      res.on('data', (p: Buffer) => parts.push(p));
+      res.on('end', () => {
+        const bytes = Buffer.concat(parts);
+        const value = bytes.length > 0 ? decode(bytes) : {};
+        resolve({ status: res.statusCode ?? 0, headers: res.headers, body: value as Record<string, unknown> });
+      });
+    });
+    req.on('error', reject);
+    req.end(body);
+  });
+}
+
+const job = {
+  ref: 'job-1',
+  flock: 'f',
+  crew: 'c',
+  shape: 'batch',
+  rank: 'low',
+  chicks: 2,
+  cpus: 1,
+  gpus: 0,
+  mem_gb: 1,
+  plumage: 'i',
+  image_gb: 1,
+  same_place: false,
+  apart: false,
+  loaners: false,
+  flight_s: 5,
+  cache_s: 0,
+  stash_s: 0,
+};
+
+test('users: good and bad submissions, unknown paths, wrong methods', async () => {
+  const good = await ask('POST', '/v2/runs', encode(job));
+  assert.equal(good.status, 201);
+  assert.deepEqual(good.body, { ref: 'job-1', mood: 'queued', done: 0, running: 0 });
+  for (const body of [
+    Buffer.from('nonsense'),
+    encode([1]),
+    encode({}),
+    encode({ ...job, cpus: -1 }),
+    Buffer.alloc(0),
+  ]) {
+    assert.equal((await ask('POST', '/v2/runs', body)).status, 400);
+  }
+  assert.equal((await ask('POST', '/v2/runs', encode({ ...job, pad: 'x'.repeat(70_000) }))).status, 400);
+  assert.equal((await ask('GET', '/nowhere')).status, 404);
+  assert.equal((await ask('GET', '/v2/runs/..%2f..')).status, 404);
+  assert.equal((await ask('GET', '/v2/runs')).status, 405);
+  assert.equal((await ask('DELETE', '/v2/runs/job-1')).status, 405);
+  assert.equal((await ask('GET', '/agent/beat')).status, 405);
+  assert.equal((await ask('GET', '/up')).status, 200);
+});
+
+test('users: a busy answer says when to come back; a malformed repeat still reaches the desk by its id', async () => {
+  const busy = await ask('GET', '/v2/runs/job-1');
+  assert.equal(busy.status, 503);
+  assert.equal(busy.headers['retry-after'], '1');
+  await ask('POST', '/v2/runs', encode({ ref: 'job-77' }));
+  assert.equal(seen.at(-1)?.id, 'job-77');
+  await ask('POST', '/v2/runs/job-78/withdraw');
+  assert.deepEqual(seen.at(-1), { op: 'cancel', id: 'job-78' });
+});
+
+test('workers: a report is answered with the token, a malformed one refused', async () => {
+  const report = {
+    perch: 'i-1',
+    addr: 'x:1',
+    breed: 't',
+    grove: 'a',
+    loaners: false,
+    roost: 1,
+    chirp: 1,
+    crest: 0,
+    chicks: [],
+  };
+  const got = await ask('POST', '/agent/beat', encode(report));
+  assert.deepEqual([got.status, got.body], [200, { crest: 5n, calls: [] }]);
+  assert.equal(reports.at(-1)?.machine, 'i-1');
+  assert.equal((await ask('POST', '/agent/beat', encode({ ...report, roost: 'x' }))).status, 400);
+});
+
+test('connections that say nothing don’t keep others out', async () => {
+  const idle = Array.from({ length: 30 }, () => connect(port, '127.0.0.1'));
+  idle[0]?.write('POST /v2/runs HTTP/1.1\r\nHost: x\r\nContent-Le');
+  idle[1]?.write('not http at all\r\n\r\n');
+  assert.equal((await ask('GET', '/up')).status, 200);
+  for (const s of idle) s.destroy();
+});
+
+function cli(...args: string[]): { status: number | null; out: string; err: string } {
+  const r = spawnSync(process.execPath, [main, ...args], { cwd: root, encoding: 'utf8', timeout: 20_000 });
+  return { status: r.status, out: r.stdout, err: r.stderr };
+}
+
+function settings(change: (text: string) => string = (t) => t): string {
+  const file = join(mkdtempSync(join(tmpdir(), 'magpielift-')), 'settings.toml');
+  writeFileSync(file, change(readFileSync(join(root, 'test/settings.toml'), 'utf8')));
+  return file;
+}
+
+test('command line: help, version, and settings checked at start', () => {
+  assert.match(cli('--help').out, /--config/);
+  assert.match(cli('--version').out, /^\d+\.\d+\.\d+/);
+  assert.equal(cli('check', '--config', settings()).status, 0);
+  assert.equal(
+    cli(
+      'check',
+      '--config',
+      settings((t) => `future = 1\n${t}`),
+    ).status,
+    0,
+  );
+  const missing = cli(
+    '--config',
+    settings((t) => t.replace(/^lease_s.*$/m, '')),
+  );
+  assert.equal(missing.status, 2);
+  assert.match(missing.err, /settings\.toml: deployment\.workers\.lease_s: /);
+  assert.equal(missing.err.trim().split('\n').length, 1);
+  assert.equal(
+    cli(
+      '--config',
+      settings((t) => t.replace('rps = 200.0', 'rps = "many"')),
+    ).status,
+    2,
+  );
+  assert.equal(cli('--config', '/nonexistent').status, 2);
+  assert.equal(cli().status, 2);
+  assert.equal(cli('--nonsense').status, 2);
+});
+
+test('command line: a wrong tuning value is refused by name', () => {
+  const dir = mkdtempSync(join(tmpdir(), 'magpielift-'));
+  const file = join(dir, 'tuning.toml');
+  const text = readFileSync(join(root, 'deploy/tuning.toml'), 'utf8');
+  writeFileSync(file, text.replace(/^mutation.*$/m, 'mutation = 3'));
+  const r = cli('check', '--config', settings(), '--tuning', file);
+  assert.equal(r.status, 2);
+  assert.match(r.err, /scheduler\.mutation/);
+});
+
+test('a node alone starts, says it is healthy, and answers 503 while it can’t reach the state service', async () => {
+  const child = spawn(process.execPath, [main, '--config', settings()], {
+    cwd: root,
+    stdio: ['ignore', 'ignore', 'pipe'],
+  });
+  try {
+    await new Promise<void>((resolve, reject) => {
+      child.stderr.on('data', (d: Buffer) => d.toString().includes('started') && resolve());
+      child.on('exit', () => reject(new Error('ended by itself')));
+    });
+    const own = port;
+    port = 18_080;
+    const up = await ask('GET', '/up');
+    const submitted = await ask('POST', '/v2/runs', encode(job));
+    port = own;
+    assert.equal(up.status, 200);
+    assert.equal(submitted.status, 503);
+    assert.equal(submitted.headers['retry-after'], '1');
+  } finally {
+    child.kill();
+  }
+});
--- /dev/null
+++ b/test/sim/cloud.ts
@@ -0,0 +1,119 @@
+import type { CloudOp, CloudValue, Result } from '../../src/core/messages.js';
+import type { ListedMachine, MachineId, MachineType, ZoneName } from '../../src/core/types.js';
+import type { Clock } from './clock.js';
+
+interface Rented {
+  readonly id: MachineId;
+  readonly type: MachineType;
+  readonly zone: ZoneName;
+  readonly spot: boolean;
+  readonly since: number;
+  phase: 'booting' | 'running' | 'failed';
+}
+
+export interface CloudEvents {
+  boot(id: MachineId, type: MachineType, zone: ZoneName, spot: boolean): void;
+  gone(id: MachineId): void;
+}
+
+/** Our stand-in for the cloud: rentals by request name, lists that lag and go backwards, machines that never come up. */
+export class Cloud {
+  readonly machines = new Map<MachineId, Rented>();
+  private readonly answered = new Map<string, MachineId[]>();
+  private history: { at: number; list: ListedMachine[] }[] = [];
+  private count = 0;
+  down = false;
+  neverBoot = 0;
+  rentals = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly types: readonly MachineType[],
+    private readonly capacity: number,
+    private readonly listLagMs: number,
+    private readonly events: CloudEvents,
+  ) {
+    const tick = (): void => {
+      this.history.push({ at: clock.now, list: this.list() });
+      if (this.history.length > 200) this.history.shift();
+      clock.in(500, tick);
+    };
+    tick();
+  }
+
+  private list(): ListedMachine[] {
+    return [...this.machines.values()]
+      .map((m) => ({
+        id: m.id,
+        addr: m.phase === 'booting' ? '' : m.id,
+        type: m.type.name,
+        zone: m.zone,
+        spot: m.spot,
+        phase: m.phase,
+        ageS: (this.clock.now - m.since) / 1000,
+      }))
+      .sort((a, b) => (a.id < b.id ? -1 : 1));
+  }
+
+  add(type: MachineType, zone: ZoneName, spot: boolean, bootMs: number | null): MachineId {
+    const id = `i-${String(this.count++).padStart(6, '0')}` as MachineId;
+    const m: Rented = { id, type, zone, spot, since: this.clock.now, phase: 'booting' };
+    this.machines.set(id, m);
+    if (bootMs !== null) {
+      this.clock.in(bootMs, () => {
+        if (this.machines.get(id) !== m || m.phase !== 'booting') return;
+        m.phase = 'running';
+        this.events.boot(id, type, zone, spot);
+      });
+    }
+    return id;
+  }
+
+  take(id: MachineId): void {
+    if (this.machines.delete(id)) this.events.gone(id);
+  }
+
+  fail(id: MachineId): void {
+    const m = this.machines.get(id);
+    if (!m) return;
+    m.phase = 'failed';
+    this.events.gone(id);
+  }
+
+  serve(op: CloudOp, reply: (r: Result<CloudValue>) => void): void {
+    this.clock.in(this.clock.between(50, 250), () => reply(this.run(op)));
+  }
+
+  private run(op: CloudOp): Result<CloudValue> {
+    if (this.down) return { ok: false, why: 'refused' };
+    switch (op.op) {
+      case 'types':
+        return { ok: true, value: { types: this.types } };
+      case 'list': {
+        const lag = this.clock.between(0.2, 2) * this.listLagMs;
+        let list: ListedMachine[] = [];
+        for (const h of this.history) if (h.at <= this.clock.now - lag) list = h.list;
+        return { ok: true, value: { machines: list.filter((m) => op.after === null || m.id > op.after), more: false } };
+      }
+      case 'rent': {
+        const before = this.answered.get(op.request);
+        if (before) return { ok: true, value: { rented: before } };
+        const type = this.types.find((t) => t.name === op.type);
+        const free = this.capacity - this.machines.size;
+        if (!type || free <= 0) return { ok: false, why: 'no_capacity' };
+        const ids: MachineId[] = [];
+        for (let i = 0; i < Math.min(free, op.count); i++) {
+          const never = this.neverBoot > 0;
+          if (never) this.neverBoot -= 1;
+          ids.push(this.add(type, op.zone, op.spot, never ? null : type.bootS * 1000 * this.clock.between(0.6, 1.5)));
+          this.rentals += 1;
+        }
+        this.answered.set(op.request, ids);
+        return { ok: true, value: { rented: ids } };
+      }
+      case 'delete':
+        for (const id of op.machines) if (this.machines.delete(id)) this.events.gone(id);
+        return { ok: true, value: {} };
+    }
+  }
+}
--- /dev/null
+++ b/test/sim/network.ts
@@ -0,0 +1,55 @@
+import type { Clock } from './clock.js';
+
+type CutMode = 'drop' | 'hold';
+
+interface Cut {
+  readonly a: string;
+  readonly b: string;
+  readonly mode: CutMode;
+  readonly held: (() => void)[];
+}
+
+/** Messages between hosts, with cuts that lose them or hold them back and deliver them late. */
+export class Network {
+  private readonly cuts = new Set<Cut>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Cuts `a` from `b` ("*": from everybody) for a while. */
+  cut(a: string, b: string, ms: number, mode: CutMode): void {
+    const cut: Cut = { a, b, mode, held: [] };
+    this.cuts.add(cut);
+    this.clock.in(ms, () => {
+      this.cuts.delete(cut);
+      for (const deliver of cut.held) this.clock.in(this.clock.between(1, 20), deliver);
+    });
+  }
+
+  send(from: string, to: string, deliver: () => void): void {
+    for (const c of this.cuts) {
+      const hits = (x: string, y: string): boolean => c.a === x && (c.b === y || (c.b === '*' && x !== y));
+      if (!hits(from, to) && !hits(to, from)) continue;
+      if (c.mode === 'hold') c.held.push(deliver);
+      return;
+    }
+    this.clock.in(this.clock.between(0.3, 3), deliver);
+  }
+
+  /** A request with an answer; `done(null)` when none came in time. Either way may be lost or late. */
+  call<T>(
+    from: string,
+    to: string,
+    timeoutMs: number,
+    serve: (reply: (v: T) => void) => void,
+    done: (v: T | null) => void,
+  ): void {
+    let open = true;
+    const finish = (v: T | null): void => {
+      if (!open) return;
+      open = false;
+      done(v);
+    };
+    this.clock.in(timeoutMs, () => finish(null));
+    this.send(from, to, () => serve((v) => this.send(to, from, () => finish(v))));
+  }
+}
--- /dev/null
+++ b/test/sim/rules.ts
@@ -0,0 +1,137 @@
+import type { UserAnswer } from '../../src/core/messages.js';
+import type { JobId, JobSpec, MachineId, MachineType, Team, ZoneName } from '../../src/core/types.js';
+import type { Clock } from './clock.js';
+
+interface OnMachine {
+  readonly machine: MachineId;
+  readonly zone: ZoneName;
+}
+
+/** Watches everything that happens and writes down every broken rule. */
+export class Rules {
+  readonly broken: string[] = [];
+  readonly submitted = new Map<JobId, JobSpec>();
+  /** Tasks on machines: by job, then task number. */
+  readonly on = new Map<JobId, Map<number, OnMachine[]>>();
+  readonly done = new Map<JobId, Set<number>>();
+  private readonly accepted = new Set<JobId>();
+  private readonly finals = new Map<JobId, 'done' | 'cancelled'>();
+  readonly cancelAsked = new Set<JobId>();
+  private readonly cancelledAt = new Map<JobId, number>();
+  starts = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly teams: readonly Team[],
+    private readonly cancelMs: number,
+  ) {}
+
+  private breaks(rule: string, what: string): void {
+    this.broken.push(`${(this.clock.now / 1000).toFixed(2)} ${rule}: ${what}`);
+  }
+
+  started(job: JobId, index: number, machine: MachineId, type: MachineType, zone: ZoneName, spot: boolean): void {
+    this.starts += 1;
+    const spec = this.submitted.get(job);
+    if (!spec) return this.breaks('invented', `${job}/${index} started`);
+    let tasks = this.on.get(job);
+    if (!tasks) {
+      tasks = new Map();
+      this.on.set(job, tasks);
+    }
+    const places = tasks.get(index) ?? [];
+    if (places.length > 0) this.breaks('ran_twice', `${job}/${index} on ${machine} and ${places[0]?.machine}`);
+    if (spec.types !== null && !spec.types.includes(type.name))
+      this.breaks('wrong_place', `${job} on type ${type.name}`);
+    if (spec.zone !== null && spec.zone !== zone) this.breaks('wrong_place', `${job} in zone ${zone}`);
+    if (spot && !spec.spotOk) this.breaks('wrong_place', `${job} on a spot machine`);
+    const zones = [...tasks.values()].flat().map((p) => p.zone);
+    if (spec.sameZone && zones.some((z) => z !== zone)) this.breaks('wrong_place', `${job} in two zones`);
+    if (spec.spread && zones.filter((z) => z === zone).length + 1 > Math.ceil(spec.tasks / 2)) {
+      this.breaks('wrong_place', `${job} has too many tasks in zone ${zone}`);
+    }
+    tasks.set(index, [...places, { machine, zone }]);
+    this.checkCancelled(job, index);
+    this.checkQuota(spec);
+  }
+
+  ended(job: JobId, index: number, machine: MachineId): void {
+    const tasks = this.on.get(job);
+    const places = tasks?.get(index)?.filter((p) => p.machine !== machine) ?? [];
+    if (places.length === 0) tasks?.delete(index);
+    else tasks?.set(index, places);
+  }
+
+  completed(job: JobId, index: number): void {
+    let set = this.done.get(job);
+    if (!set) {
+      set = new Set();
+      this.done.set(job, set);
+    }
+    set.add(index);
+  }
+
+  isDone(job: JobId): boolean {
+    return (this.done.get(job)?.size ?? 0) >= (this.submitted.get(job)?.tasks ?? Number.POSITIVE_INFINITY);
+  }
+
+  finalOf(job: JobId): string | undefined {
+    return this.finals.get(job);
+  }
+
+  isAccepted(job: JobId): boolean {
+    return this.accepted.has(job);
+  }
+
+  private checkCancelled(job: JobId, index: number): void {
+    const at = this.cancelledAt.get(job);
+    if (at !== undefined && this.clock.now > at + this.cancelMs) this.breaks('ran_cancelled', `${job}/${index}`);
+  }
+
+  private checkQuota(spec: JobSpec): void {
+    const team = this.teams.find((t) => t.name === spec.team);
+    if (!team) return;
+    let cpus = 0;
+    let gpus = 0;
+    for (const [id, tasks] of this.on) {
+      const other = this.submitted.get(id);
+      if (!other || other.team !== spec.team) continue;
+      const n = [...tasks.values()].reduce((sum, p) => sum + p.length, 0);
+      cpus += n * other.cpus;
+      gpus += n * other.gpus;
+    }
+    if (team.cpusMax > 0 && cpus > team.cpusMax + 1e-6) this.breaks('quota', `${team.name}: ${cpus} cpus`);
+    if (team.gpusMax > 0 && gpus > team.gpusMax + 1e-6) this.breaks('quota', `${team.name}: ${gpus} gpus`);
+  }
+
+  /** An answer that reached a user. */
+  told(job: JobId, answer: UserAnswer): void {
+    if (!('mood' in answer)) {
+      const known = this.accepted.has(job);
+      if (known && answer.status === 404) this.breaks('forgotten', `${job} answered 404`);
+      if (known && (answer.status === 400 || answer.status === 422)) this.breaks('forgotten', `${job} refused`);
+      return;
+    }
+    if (!this.submitted.has(job)) this.breaks('invented', job);
+    this.accepted.add(job);
+    const before = this.finals.get(job);
+    if (before !== undefined && answer.mood !== before)
+      this.breaks('went_back', `${job}: ${before}, then ${answer.mood}`);
+    if (answer.mood === 'done') {
+      if (!this.isDone(job)) this.breaks('not_done', job);
+      this.finals.set(job, 'done');
+    }
+    if (answer.mood === 'cancelled') {
+      if (!this.cancelAsked.has(job)) this.breaks('went_back', `${job} cancelled by nobody`);
+      this.finals.set(job, 'cancelled');
+      if (!this.cancelledAt.has(job)) this.watchCancelled(job);
+    }
+  }
+
+  private watchCancelled(job: JobId): void {
+    this.cancelledAt.set(job, this.clock.now);
+    this.clock.in(this.cancelMs, () => {
+      for (const index of this.on.get(job)?.keys() ?? []) this.breaks('ran_cancelled', `${job}/${index} still there`);
+    });
+  }
+}
--- /dev/null
+++ b/test/sim/scenario.ts
@@ -0,0 +1,296 @@
+import { readFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import { loadTuning } from '../../src/config/tuning.js';
+import type {
+  ImageName,
+  JobId,
+  JobSpec,
+  MachineType,
+  Rank,
+  Team,
+  TeamName,
+  TypeName,
+  ZoneName,
+} from '../../src/core/types.js';
+import { World } from './world.js';
+
+/*
+ * A scenario is a text file, one statement a line, `#` for comments:
+ *   seed N | nodes N | zones a b | capacity N | machines N TYPE ZONE [spot]
+ *   team NAME key=value ...
+ *   at S EVENT ...        (see `events` below)
+ *   until S
+ *   expect CHECK ...      (see `checks` below; "rules kept" is always checked)
+ */
+export interface Scenario {
+  readonly title: string;
+  readonly lines: readonly { n: number; words: string[] }[];
+}
+
+export function parseScenario(file: string): Scenario {
+  const lines: { n: number; words: string[] }[] = [];
+  let title = file;
+  readFileSync(file, 'utf8')
+    .split('\n')
+    .forEach((line, i) => {
+      if (i === 0 && line.startsWith('#')) title = line.slice(1).trim();
+      const words = line.replace(/#.*/, '').trim().split(/\s+/).filter(Boolean);
+      if (words.length > 0) lines.push({ n: i + 1, words });
+    });
+  return { title, lines };
+}
+
+const TYPES: MachineType[] = [
+  {
+    name: 'c8',
+    cpus: 8,
+    gpus: 0,
+    memGb: 32,
+    cacheGb: 50,
+    fetchGbPerS: 0.5,
+    price: 0.4,
+    spotPrice: 0.1,
+    bootS: 20,
+    zones: [],
+  },
+  {
+    name: 'g4',
+    cpus: 24,
+    gpus: 4,
+    memGb: 144,
+    cacheGb: 60,
+    fetchGbPerS: 0.5,
+    price: 10,
+    spotPrice: 3,
+    bootS: 25,
+    zones: [],
+  },
+].map((t) => ({ ...t, name: t.name as TypeName }));
+
+export const tuning = loadTuning(fileURLToPath(new URL('../../../../deploy/tuning.toml', import.meta.url)));
+
+type Options = Record<string, string>;
+
+export function readOptions(words: readonly string[]): Options {
+  const out: Options = {};
+  for (const w of words) {
+    const [k, v] = w.split('=');
+    if (k !== undefined) out[k] = v ?? 'yes';
+  }
+  return out;
+}
+
+const num = (o: Options, key: string, otherwise: number): number => (o[key] === undefined ? otherwise : Number(o[key]));
+
+export function makeSpec(id: string, shape: 'array' | 'gang', o: Options): JobSpec {
+  return {
+    id: id as JobId,
+    jobClass: o.class ?? 'test',
+    team: (o.team ?? 'crew') as TeamName,
+    shape,
+    rank: num(o, 'rank', 1) as Rank,
+    tasks: num(o, 'tasks', 1),
+    cpus: num(o, 'cpus', 1),
+    gpus: num(o, 'gpus', 0),
+    memGb: num(o, 'mem', 1),
+    image: (o.image ?? 'img-1') as ImageName,
+    imageGb: num(o, 'imageGb', 1),
+    types: o.types === undefined ? null : (o.types.split(',') as TypeName[]),
+    zone: (o.zone ?? null) as ZoneName | null,
+    sameZone: o.sameZone !== undefined,
+    spread: o.spread !== undefined,
+    spotOk: o.spot !== undefined,
+    estimateS: num(o, 'estimate', num(o, 'run', 10)),
+    checkpointS: num(o, 'checkpoint', 0),
+    saveS: num(o, 'save', 1),
+    deadlineS: null,
+  };
+}
+
+export interface Outcome {
+  readonly world: World;
+  readonly failures: string[];
+}
+
+export function runScenario(s: Scenario): Outcome {
+  const value = (key: string): string | undefined => s.lines.find((l) => l.words[0] === key)?.words[1];
+  const zones = (s.lines.find((l) => l.words[0] === 'zones')?.words.slice(1) ?? ['a']) as ZoneName[];
+  const types = TYPES.map((t) => ({ ...t, zones }));
+  const teams: Team[] = s.lines
+    .filter((l) => l.words[0] === 'team')
+    .map((l) => {
+      const o = readOptions(l.words.slice(2));
+      const n = (k: string): number => num(o, k, 0);
+      return {
+        name: l.words[1] as TeamName,
+        cpus: n('cpus'),
+        gpus: n('gpus'),
+        cpusMax: n('cpusMax'),
+        gpusMax: n('gpusMax'),
+      };
+    });
+  if (teams.length === 0) teams.push({ name: 'crew' as TeamName, cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 });
+  const world = new World({
+    seed: Number(value('seed') ?? 1),
+    nodes: Number(value('nodes') ?? 3),
+    zones,
+    teams,
+    types,
+    capacity: Number(value('capacity') ?? 8),
+    tuning,
+  });
+  for (const { words } of s.lines.filter((l) => l.words[0] === 'machines')) {
+    const type = types.find((t) => t.name === words[2]);
+    if (!type) throw new Error(`no machine type ${words[2]}`);
+    for (let i = 0; i < Number(words[1]); i++) world.cloud.add(type, words[3] as ZoneName, words[4] === 'spot', 1);
+  }
+  world.startNodes();
+  const failures: string[] = [];
+  for (const { n, words } of s.lines.filter((l) => l.words[0] === 'at')) {
+    const event = events[words[2] ?? ''];
+    if (!event) throw new Error(`line ${n}: no event ${words[2]}`);
+    world.clock.in(Number(words[1]) * 1000, () => event(world, words.slice(3)));
+  }
+  world.clock.runUntil(Number(value('until') ?? 60) * 1000);
+  failures.push(...world.rules.broken);
+  for (const { n, words } of s.lines.filter((l) => l.words[0] === 'expect')) {
+    const check = checks[words[1] ?? ''];
+    if (!check) throw new Error(`line ${n}: no check ${words[1]}`);
+    const problem = check(world, words.slice(2));
+    if (problem) failures.push(`line ${n}: ${problem}`);
+  }
+  return { world, failures };
+}
+
+/** The leader as the store knows it. */
+export function leaderOf(world: World): World['nodes'][number] | undefined {
+  const value = world.state.item('leader')?.value as { node?: string } | undefined;
+  return world.nodes.find((n) => n.name === value?.node);
+}
+
+function nodesNamed(world: World, which: string | undefined): World['nodes'] {
+  if (which === 'all') return world.nodes.slice();
+  if (which === 'leader') return [leaderOf(world) ?? world.nodes[0]].filter((n) => n !== undefined);
+  if (which === 'followers') return world.nodes.filter((n) => n !== leaderOf(world));
+  return world.nodes.filter((n) => n.name === which);
+}
+
+function workersNamed(
+  world: World,
+  which: string | undefined,
+): World['workers'] extends Map<unknown, infer W> ? W[] : never {
+  const all = [...world.workers.values()];
+  if (which === 'all') return all;
+  if (which === 'busy') return all.filter((w) => w.tasks.size > 0).slice(0, 1);
+  return all.filter((w) => w.id === which);
+}
+
+type Event = (world: World, words: string[]) => void;
+
+export const events: Readonly<Record<string, Event>> = {
+  submit(world, [id, shape, ...rest]) {
+    const o = readOptions(rest);
+    const spec = makeSpec(id ?? '', shape === 'gang' ? 'gang' : 'array', o);
+    if (o.faulty) world.faulty.add(spec.id);
+    world.submit(spec, num(o, 'run', 10) * 1000);
+  },
+  cancel(world, [id]) {
+    world.cancel(id as JobId);
+  },
+  /** crash NODE|leader|all [back after S seconds, default 3] */
+  crash(world, [which, back]) {
+    for (const n of nodesNamed(world, which)) {
+      n.crash();
+      world.clock.in(Number(back ?? 3) * 1000, () => n.start());
+    }
+  },
+  outage(world, [s]) {
+    world.state.outage(Number(s) * 1000);
+  },
+  /** refuse NODE S: the state service answers 503 to this node alone */
+  refuse(world, [which, s]) {
+    for (const n of nodesNamed(world, which)) {
+      world.state.refused.add(n.name);
+      world.clock.in(Number(s) * 1000, () => world.state.refused.delete(n.name));
+    }
+  },
+  /** cut NODE|MACHINE state|cloud|workers|users|* S drop|hold */
+  cut(world, [which, from, s, mode]) {
+    const hosts = [
+      ...nodesNamed(world, which).map((n) => n.name as string),
+      ...workersNamed(world, which).map((w) => w.id),
+    ];
+    const others = from === 'workers' ? [...world.workers.keys()] : [from ?? '*'];
+    for (const h of hosts)
+      for (const o of others) world.network.cut(h, o, Number(s) * 1000, mode === 'hold' ? 'hold' : 'drop');
+  },
+  hang(world, [which, s]) {
+    for (const w of workersNamed(world, which)) w.hungUntil = world.clock.now + Number(s) * 1000;
+  },
+  sick(world, [which]) {
+    for (const w of workersNamed(world, which)) w.sick = true;
+  },
+  slow(world, [which, factor]) {
+    for (const w of workersNamed(world, which)) w.speed = 1 / Number(factor ?? 4);
+  },
+  /** notice MACHINE S: the cloud takes it after S seconds */
+  notice(world, [which, s]) {
+    for (const w of workersNamed(world, which)) {
+      w.noticeAt = world.clock.now + Number(s) * 1000;
+      world.clock.in(Number(s) * 1000, () => world.cloud.take(w.id));
+    }
+  },
+  take(world, [which]) {
+    for (const w of workersNamed(world, which)) world.cloud.take(w.id);
+  },
+  fail(world, [which]) {
+    for (const w of workersNamed(world, which)) world.cloud.fail(w.id);
+  },
+  'cloud-outage'(world, [s]) {
+    world.cloud.down = true;
+    world.clock.in(Number(s) * 1000, () => {
+      world.cloud.down = false;
+    });
+  },
+  'never-boot'(world, [n]) {
+    world.cloud.neverBoot = Number(n);
+  },
+};
+
+type Check = (world: World, words: string[]) => string | null;
+
+const checks: Readonly<Record<string, Check>> = {
+  /** expect done JOB ... */
+  done(world, ids) {
+    const open = ids.filter((id) => world.rules.finalOf(id as JobId) !== 'done');
+    return open.length === 0 ? null : `not told done: ${open.join(' ')}`;
+  },
+  cancelled(world, ids) {
+    const open = ids.filter((id) => world.rules.finalOf(id as JobId) !== 'cancelled');
+    return open.length === 0 ? null : `not told cancelled: ${open.join(' ')}`;
+  },
+  /** expect starts at-most N */
+  starts(world, [, n]) {
+    return world.rules.starts <= Number(n) ? null : `${world.rules.starts} starts, more than ${n}`;
+  },
+  /** expect leader: somebody holds the lead at the end */
+  leader(world) {
+    return leaderOf(world) ? null : 'nobody leads';
+  },
+  accepted(world, ids) {
+    const open = ids.filter((id) => !world.rules.isAccepted(id as JobId));
+    return open.length === 0 ? null : `not accepted: ${open.join(' ')}`;
+  },
+  /** expect gone MACHINE ... */
+  gone(world, ids) {
+    const there = ids.filter((id) => world.cloud.machines.has(id as never));
+    return there.length === 0 ? null : `still rented: ${there.join(' ')}`;
+  },
+  rented(world, [, n]) {
+    return world.cloud.rentals <= Number(n) ? null : `${world.cloud.rentals} machines rented, more than ${n}`;
+  },
+  empty(world) {
+    const left = [...world.rules.on.values()].reduce((sum, tasks) => sum + tasks.size, 0);
+    return left === 0 ? null : `${left} tasks still on machines`;
+  },
+};
--- /dev/null
+++ b/test/sim/state_service.ts
@@ -0,0 +1,171 @@
+import type { Result, StoredItem, StoreEvent, StoreOp, StoreValue } from '../../src/core/messages.js';
+import { type LeaseId, type Revision, revision } from '../../src/core/types.js';
+import type { Clock } from './clock.js';
+
+interface Lease {
+  readonly ttlMs: number;
+  endsAt: number;
+  readonly keys: Set<string>;
+}
+
+type Reply = (r: Result<StoreValue>) => void;
+const no = (why: 'refused' | 'conflict' | 'gone' | 'rejected'): Result<StoreValue> => ({ ok: false, why });
+const yes = (value: StoreValue): Result<StoreValue> => ({ ok: true, value });
+
+/** Our stand-in for the state service, by its protocol: versions, leases, watches, outages, and refusals of one node. */
+export class StateService {
+  private rev = 100n;
+  private leases = new Map<bigint, Lease>();
+  private lastLease = 0n;
+  private readonly items = new Map<string, { item: StoredItem; lease: bigint | null }>();
+  private events: StoreEvent[] = [];
+  private watchers = new Set<() => void>();
+  private down = false;
+  readonly refused = new Set<string>();
+  writes = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly limits: { txnOps: number; valueBytes: number },
+  ) {}
+
+  outage(ms: number): void {
+    this.down = true;
+    this.clock.in(ms, () => {
+      this.down = false;
+      for (const l of this.leases.values()) l.endsAt = this.clock.now + l.ttlMs;
+      for (const w of [...this.watchers]) w();
+    });
+  }
+
+  item(key: string): StoredItem | null {
+    return this.items.get(key)?.item ?? null;
+  }
+
+  keys(prefix: string): string[] {
+    return [...this.items.keys()].filter((k) => k.startsWith(prefix)).sort();
+  }
+
+  serve(from: string, op: StoreOp, reply: Reply): void {
+    const latency = this.clock.between(1, 6);
+    this.clock.in(latency, () => {
+      if (this.down || this.refused.has(from)) return reply(no('refused'));
+      this.run(from, op, reply);
+    });
+  }
+
+  private expire(): void {
+    for (const [id, l] of [...this.leases]) if (!this.down && this.clock.now > l.endsAt) this.end(id);
+  }
+
+  private end(id: bigint): void {
+    const l = this.leases.get(id);
+    if (!l) return;
+    this.leases.delete(id);
+    if (l.keys.size === 0) return;
+    this.rev += 1n;
+    for (const k of l.keys) this.drop(k);
+    this.notify();
+  }
+
+  private drop(key: string): void {
+    const old = this.items.get(key);
+    if (!old) return;
+    if (old.lease !== null) this.leases.get(old.lease)?.keys.delete(key);
+    this.items.delete(key);
+    this.events.push({ drop: key, version: revision(this.rev) });
+  }
+
+  private notify(): void {
+    for (const w of [...this.watchers]) w();
+  }
+
+  private run(from: string, op: StoreOp, reply: Reply): void {
+    this.expire();
+    switch (op.op) {
+      case 'get': {
+        const found = this.items.get(op.key);
+        return reply(yes({ item: found ? found.item : null, revision: revision(this.rev) }));
+      }
+      case 'list': {
+        const keys = this.keys(op.prefix).filter((k) => op.after === null || k > op.after);
+        const items = keys.slice(0, op.limit).map((k) => this.items.get(k)?.item as StoredItem);
+        return reply(yes({ items, more: keys.length > op.limit, revision: revision(this.rev) }));
+      }
+      case 'grant': {
+        const id = ++this.lastLease;
+        this.leases.set(id, { ttlMs: op.ttlMs, endsAt: this.clock.now + op.ttlMs, keys: new Set() });
+        this.clock.in(op.ttlMs + 50, () => this.check());
+        return reply(yes({ lease: id as LeaseId }));
+      }
+      case 'renew': {
+        const l = this.leases.get(op.lease);
+        if (!l) return reply(no('gone'));
+        l.endsAt = this.clock.now + l.ttlMs;
+        this.clock.in(l.ttlMs + 50, () => this.check());
+        return reply(yes({}));
+      }
+      case 'revoke':
+        this.end(op.lease);
+        return reply(yes({}));
+      case 'txn':
+        return reply(this.txn(op));
+      case 'watch':
+        return this.watch(from, op.prefix, op.after, op.waitMs, reply);
+    }
+  }
+
+  private check(): void {
+    if (!this.down) this.expire();
+  }
+
+  private txn(op: Extract<StoreOp, { op: 'txn' }>): Result<StoreValue> {
+    if (op.changes.length > this.limits.txnOps || op.conditions.length > 4 * this.limits.txnOps) return no('rejected');
+    for (const c of op.changes) {
+      if ('drop' in c) continue;
+      if (c.lease !== undefined && !this.leases.has(c.lease)) return no('rejected');
+      if (JSON.stringify(c.value).length > this.limits.valueBytes) return no('rejected');
+    }
+    for (const c of op.conditions) {
+      const version = this.items.get(c.key)?.item.version ?? 0n;
+      if (version !== c.version) return no('conflict');
+    }
+    if (op.changes.length === 0) return yes({ revision: revision(this.rev) });
+    this.rev += 1n;
+    this.writes += op.changes.length;
+    for (const c of op.changes) {
+      if ('drop' in c) {
+        this.drop(c.drop);
+        continue;
+      }
+      const old = this.items.get(c.put);
+      if (old && old.lease !== null) this.leases.get(old.lease)?.keys.delete(c.put);
+      const version = revision(this.rev);
+      this.items.set(c.put, { item: { key: c.put, value: c.value, version }, lease: c.lease ?? null });
+      if (c.lease !== undefined) this.leases.get(c.lease)?.keys.add(c.put);
+      this.events.push({ put: c.put, value: c.value, version });
+    }
+    this.notify();
+    return yes({ revision: revision(this.rev) });
+  }
+
+  private watch(from: string, prefix: string, after: Revision, waitMs: number, reply: Reply): void {
+    const news = (): StoreEvent[] =>
+      this.events.filter((e) => e.version > after && ('drop' in e ? e.drop : e.put).startsWith(prefix));
+    let open = true;
+    const answer = (): void => {
+      open = false;
+      this.watchers.delete(look);
+      reply(yes({ events: news(), revision: revision(this.rev) }));
+    };
+    const look = (): void => {
+      if (open && !this.down && !this.refused.has(from) && news().length > 0) answer();
+    };
+    this.watchers.add(look);
+    this.clock.in(waitMs, () => {
+      // An open watch stays open during an outage.
+      if (open && !this.down && !this.refused.has(from)) answer();
+    });
+    look();
+  }
+}
--- /dev/null
+++ b/test/sim/worker.ts
@@ -0,0 +1,315 @@
+import type { WorkerAnswer, WorkerOp, WorkerValue } from '../../src/core/messages.js';
+import type {
+  Attempt,
+  Command,
+  ExitReason,
+  JobId,
+  MachineId,
+  MachineType,
+  NodeName,
+  Seq,
+  Session,
+  TaskPhase,
+  Token,
+  WorkerReport,
+  ZoneName,
+} from '../../src/core/types.js';
+import type { World } from './world.js';
+
+interface Task {
+  readonly job: JobId;
+  readonly index: number;
+  readonly attempt: Attempt;
+  phase: TaskPhase;
+  reason: ExitReason | null;
+  saved: boolean;
+  imageAt: number;
+  workMs: number;
+  savedAt: number | null;
+  waitingSince: number | null;
+}
+
+const TICK_MS = 100;
+
+/** Our stand-in for a worker: reports, commands, tokens, leases and gangs as the protocol says. */
+export class Worker {
+  session = 1n;
+  private seq = 0n;
+  token = 0n;
+  readonly tasks = new Map<string, Task>();
+  private leaseFrom: number;
+  private nodeIndex: number;
+  private nextReportAt: number;
+  private reporting = false;
+  private changed = true;
+  private lastReportAt = Number.NEGATIVE_INFINITY;
+  private tokenChangeAt = Number.NEGATIVE_INFINITY;
+  noticeAt: number | null = null;
+  hungUntil = 0;
+  sick = false;
+  speed = 1;
+  alive = true;
+  private readonly images = new Set<string>();
+
+  constructor(
+    private readonly world: World,
+    readonly id: MachineId,
+    readonly type: MachineType,
+    readonly zone: ZoneName,
+    readonly spot: boolean,
+  ) {
+    this.leaseFrom = world.clock.now;
+    this.nodeIndex = Math.floor(world.clock.between(0, world.nodes.length - 0.001));
+    this.nextReportAt = world.clock.now + world.clock.between(1, 300);
+    const tick = (): void => {
+      if (!this.alive) return;
+      this.tick();
+      world.clock.in(TICK_MS, tick);
+    };
+    world.clock.in(world.clock.between(1, TICK_MS), tick);
+  }
+
+  private get now(): number {
+    return this.world.clock.now;
+  }
+
+  private get hung(): boolean {
+    return this.now < this.hungUntil;
+  }
+
+  die(): void {
+    this.alive = false;
+    this.clear();
+  }
+
+  private clear(): void {
+    for (const t of this.tasks.values()) if (t.phase !== 'exited') this.leave(t);
+    this.tasks.clear();
+  }
+
+  private leave(t: Task): void {
+    if (t.phase !== 'fetching') this.world.rules.ended(t.job, t.index, this.id);
+  }
+
+  private exit(t: Task, reason: ExitReason, saved = false): void {
+    this.leave(t);
+    t.phase = 'exited';
+    t.reason = reason;
+    t.saved = saved;
+    this.changed = true;
+    if (reason === 'done') this.world.rules.completed(t.job, t.index);
+  }
+
+  private tick(): void {
+    const { lease } = this.world.settings;
+    // A hanging machine executes nothing; once its lease is over, what it held can't go on.
+    if (this.now - this.leaseFrom > lease) {
+      this.clear();
+      this.session += 1n;
+      this.seq = 0n;
+      this.leaseFrom = this.now;
+      this.changed = true;
+    }
+    if (this.hung) return;
+    for (const t of this.tasks.values()) this.advance(t);
+    const early = this.changed && this.now - this.lastReportAt >= 500;
+    if (!this.reporting && (this.now >= this.nextReportAt || early)) this.report();
+  }
+
+  private advance(t: Task): void {
+    const spec = this.world.rules.submitted.get(t.job);
+    if (!spec || t.phase === 'exited') return;
+    if (t.phase === 'fetching') {
+      if (this.now < t.imageAt) return;
+      this.images.add(spec.image);
+      this.world.rules.started(t.job, t.index, this.id, this.type, this.zone, this.spot);
+      t.phase = spec.shape === 'gang' ? 'waiting' : 'running';
+      t.waitingSince = this.now;
+      this.changed = true;
+      if (this.world.rules.done.get(t.job)?.has(t.index)) return this.exit(t, 'done');
+      if (this.sick || this.world.faulty.has(t.job)) return this.exit(t, 'error');
+    }
+    if (t.phase === 'saving') {
+      if (t.savedAt !== null && this.now >= t.savedAt) {
+        this.world.saveProgress(t.job, t.index, t.workMs);
+        this.exit(t, 'stopped', true);
+      }
+      return;
+    }
+    if (spec.shape === 'gang') {
+      const mates = this.world.mates(t.job, t.attempt);
+      const present = mates.filter((m) => m.task.phase !== 'exited');
+      if (t.phase === 'waiting') {
+        const ready = present.filter((m) => m.task.phase === 'waiting' || m.task.phase === 'running');
+        if (ready.length === spec.tasks) for (const m of ready) m.task.phase = 'running';
+        else if (this.now - (t.waitingSince ?? this.now) > this.world.settings.gangWait) this.exit(t, 'alone');
+        return;
+      }
+      if (present.length < spec.tasks || present.some((m) => m.worker.hung)) {
+        t.waitingSince ??= this.now;
+        if (t.savedAt === null) t.savedAt = this.now;
+        if (this.now - t.savedAt > this.world.settings.gangPeer) this.exit(t, 'peers_gone');
+        return;
+      }
+      t.savedAt = null;
+    }
+    const before = t.workMs;
+    t.workMs += TICK_MS * this.speed;
+    const every = spec.checkpointS * 1000;
+    if (every > 0 && Math.floor(before / every) < Math.floor(t.workMs / every)) {
+      this.world.saveProgress(t.job, t.index, Math.floor(t.workMs / every) * every);
+    }
+    if (t.workMs < this.world.runMs(t.job)) return;
+    if (spec.shape === 'gang') {
+      for (const m of this.world.mates(t.job, t.attempt)) if (m.task.phase === 'running') m.worker.exit(m.task, 'done');
+    } else this.exit(t, 'done');
+  }
+
+  private makeReport(): WorkerReport {
+    this.seq += 1n;
+    return {
+      machine: this.id,
+      addr: this.id,
+      type: this.type.name,
+      zone: this.zone,
+      spot: this.spot,
+      session: this.session as Session,
+      seq: this.seq as Seq,
+      token: this.token as Token,
+      noticeS: this.noticeAt === null ? null : Math.max(0, (this.noticeAt - this.now) / 1000),
+      tasks: [...this.tasks.values()].map((t) => ({
+        job: t.job,
+        index: t.index,
+        attempt: t.attempt,
+        phase: t.phase,
+        reason: t.reason,
+        saved: t.saved,
+      })),
+    };
+  }
+
+  private report(): void {
+    const { world } = this;
+    this.reporting = true;
+    this.changed = false;
+    this.lastReportAt = this.now;
+    const sentAt = this.now;
+    const session = this.session;
+    const report = this.makeReport();
+    const node = world.nodes[this.nodeIndex % world.nodes.length] as World['nodes'][number];
+    world.network.call<WorkerAnswer>(
+      this.id,
+      node.name,
+      4000,
+      (reply) => node.beat(report, reply),
+      (answer) => {
+        if (!this.alive) return;
+        this.reporting = false;
+        this.nextReportAt = this.now + world.settings.report * world.clock.between(0.75, 1.25);
+        if (answer?.status === 200 && !this.hung) this.accept(answer, sentAt, session);
+        else if (answer?.status === 421 && answer.reportTo !== null) this.moveTo(answer.reportTo);
+        else if (answer?.status !== 200) this.nextNode();
+      },
+    );
+  }
+
+  private moveTo(name: NodeName): void {
+    const index = this.world.nodes.findIndex((n) => n.name === name);
+    if (index < 0 || index === this.nodeIndex) return this.nextNode();
+    this.nodeIndex = index;
+    this.nextReportAt = this.now + this.world.clock.between(0, 500);
+  }
+
+  private nextNode(): void {
+    this.nodeIndex = (this.nodeIndex + 1) % this.world.nodes.length;
+    this.nextReportAt = this.now + 1000;
+  }
+
+  private accept(answer: Extract<WorkerAnswer, { status: 200 }>, sentAt: number, session: bigint): void {
+    if (session !== this.session || answer.token < this.token) return;
+    this.raise(answer.token);
+    this.leaseFrom = Math.max(this.leaseFrom, sentAt);
+    for (const c of answer.commands) this.execute(c);
+  }
+
+  private raise(token: bigint): void {
+    if (token <= this.token) return;
+    this.token = token;
+    if (this.now - this.tokenChangeAt < this.world.settings.lease / 2) return;
+    this.tokenChangeAt = this.now;
+    this.changed = true;
+  }
+
+  /** A direct command; a hanging machine takes it when it goes on. */
+  direct(op: WorkerOp, reply: (v: WorkerValue) => void): void {
+    if (!this.alive) return;
+    if (this.hung) {
+      this.world.clock.in(this.hungUntil - this.now + 1, () => this.direct(op, reply));
+      return;
+    }
+    const executed = op.token >= this.token && op.session === this.session;
+    if (executed) {
+      this.raise(op.token);
+      for (const c of op.commands) this.execute(c);
+    }
+    reply({ executed, report: this.makeReport() });
+  }
+
+  private execute(c: Command): void {
+    const key = `${c.job}/${c.index}`;
+    const t = this.tasks.get(key);
+    if (c.op === 'forget') {
+      if (t && t.attempt === c.attempt && t.phase === 'exited') this.tasks.delete(key);
+    } else if (c.op === 'stop') {
+      if (t && t.attempt === c.attempt) this.stop(t, c.graceS);
+    } else if (!t || t.attempt !== c.attempt) this.start(c.job, c.index, c.attempt, t);
+  }
+
+  private stop(t: Task, graceS: number): void {
+    const spec = this.world.rules.submitted.get(t.job);
+    if (!spec || t.phase === 'exited') return;
+    if (t.phase === 'saving') {
+      if (graceS === 0) this.exit(t, 'stopped');
+      return;
+    }
+    if (t.phase === 'running' && spec.checkpointS > 0 && graceS >= spec.saveS) {
+      t.phase = 'saving';
+      t.savedAt = this.now + spec.saveS * 1000;
+      this.changed = true;
+    } else this.exit(t, 'stopped');
+  }
+
+  private start(job: JobId, index: number, attempt: Attempt, old: Task | undefined): void {
+    const spec = this.world.rules.submitted.get(job);
+    const t: Task = {
+      job,
+      index,
+      attempt,
+      phase: 'fetching',
+      reason: null,
+      saved: false,
+      imageAt: this.now,
+      workMs: this.world.progress(job, index),
+      savedAt: null,
+      waitingSince: null,
+    };
+    if (!spec) return;
+    if (old && old.phase !== 'exited') return;
+    let cpus = spec.cpus;
+    let gpus = spec.gpus;
+    for (const o of this.tasks.values()) {
+      const other = this.world.rules.submitted.get(o.job);
+      if (!other || o.phase === 'exited') continue;
+      cpus += other.cpus;
+      gpus += other.gpus;
+    }
+    this.tasks.set(`${job}/${index}`, t);
+    this.changed = true;
+    if (cpus > this.type.cpus || gpus > this.type.gpus) {
+      t.phase = 'exited';
+      t.reason = 'no_room';
+      return;
+    }
+    t.imageAt = this.now + (this.images.has(spec.image) ? 0 : (spec.imageGb / this.type.fetchGbPerS) * 1000);
+  }
+}
--- /dev/null
+++ b/test/sim/world.ts
@@ -0,0 +1,328 @@
+import type {
+  Input,
+  Output,
+  PeerMessage,
+  Result,
+  StoreValue,
+  UserAnswer,
+  UserRequest,
+  WorkerAnswer,
+  WorkerValue,
+} from '../../src/core/messages.js';
+import { Node } from '../../src/core/node.js';
+import type { Settings, Tuning } from '../../src/core/settings.js';
+import type {
+  Attempt,
+  JobId,
+  JobSpec,
+  MachineId,
+  MachineType,
+  NodeName,
+  Now,
+  Steady,
+  Team,
+  Wall,
+  WorkerReport,
+  ZoneName,
+} from '../../src/core/types.js';
+import { Clock } from './clock.js';
+import { Cloud } from './cloud.js';
+import { Network } from './network.js';
+import { Rules } from './rules.js';
+import { StateService } from './state_service.js';
+import { Worker } from './worker.js';
+
+export interface WorldOptions {
+  readonly seed: number;
+  readonly nodes: number;
+  readonly zones: readonly ZoneName[];
+  readonly teams: readonly Team[];
+  readonly types: readonly MachineType[];
+  readonly capacity: number;
+  readonly tuning: Tuning;
+}
+
+const LEASE_MS = 14_000;
+const REPORT_MS = 2000;
+const CANCEL_MS = 39_000;
+
+/** A controller process as the world runs it: killed without a word, started again with nothing. */
+class Controller {
+  private node: Node | null = null;
+  private waits = new Map<number, (a: never) => void>();
+  private requests = 0;
+  private timerSeq = 0;
+  private starts = 0;
+  private epoch = 0;
+
+  constructor(
+    private readonly world: World,
+    readonly name: NodeName,
+    private readonly settings: Settings,
+  ) {}
+
+  get up(): boolean {
+    return this.node !== null;
+  }
+
+  start(): void {
+    if (this.node) return;
+    this.starts += 1;
+    this.epoch += 1;
+    const { world } = this;
+    this.node = new Node(
+      this.settings,
+      world.options.tuning,
+      `${this.name}-${this.starts}`,
+      world.options.seed + this.starts,
+      this.now(),
+    );
+    this.step({ kind: 'start' });
+  }
+
+  crash(): void {
+    this.node = null;
+    this.waits.clear();
+    this.epoch += 1;
+  }
+
+  private now(): Now {
+    const t = this.world.clock.now;
+    return { steady: t as Steady, wall: (1_790_000_000_000 + t) as Wall };
+  }
+
+  step(input: Input): void {
+    const { node } = this;
+    if (!node) return;
+    const outputs = node.step(this.now(), input);
+    for (const o of outputs) this.carryOut(o);
+    const next = node.nextTimer();
+    if (next === null) return;
+    const mine = ++this.timerSeq;
+    this.world.clock.in(Math.max(1, next - this.world.clock.now), () => {
+      if (mine === this.timerSeq && this.node === node) this.step({ kind: 'timer' });
+    });
+  }
+
+  /** Runs `then` only if the same process still lives. */
+  private mine<T extends unknown[]>(then: (...a: T) => void): (...a: T) => void {
+    const { epoch } = this;
+    return (...a) => {
+      if (epoch === this.epoch && this.node) then(...a);
+    };
+  }
+
+  private carryOut(o: Output): void {
+    const { world } = this;
+    const { network } = world;
+    switch (o.kind) {
+      case 'answerUser':
+      case 'answerWorker': {
+        const wait = this.waits.get(o.req);
+        this.waits.delete(o.req);
+        wait?.(o.answer as never);
+        break;
+      }
+      case 'store': {
+        const done = this.mine((r: Result<StoreValue> | null) =>
+          this.step({ kind: 'storeReply', call: o.call, result: r ?? { ok: false, why: 'unknown' } }),
+        );
+        network.call(this.name, 'state', o.timeoutMs, (reply) => world.state.serve(this.name, o.op, reply), done);
+        break;
+      }
+      case 'cloud': {
+        const done = this.mine((r: Parameters<Parameters<Cloud['serve']>[1]>[0] | null) =>
+          this.step({ kind: 'cloudReply', call: o.call, result: r ?? { ok: false, why: 'unknown' } }),
+        );
+        network.call(this.name, 'cloud', 4000, (reply) => world.cloud.serve(o.op, reply), done);
+        break;
+      }
+      case 'worker': {
+        const done = this.mine((r: WorkerValue | null) =>
+          this.step({
+            kind: 'workerReply',
+            call: o.call,
+            result: r ? { ok: true, value: r } : { ok: false, why: 'unknown' },
+          }),
+        );
+        const worker = world.workers.get(o.op.addr as MachineId);
+        network.call(this.name, o.op.addr, 2500, (reply) => worker?.direct(o.op, reply), done);
+        break;
+      }
+      case 'peer': {
+        const to = world.nodes.find((n) => n.name === o.to);
+        network.send(this.name, o.to, () => to?.fromPeer(this.name, o.message));
+        break;
+      }
+      case 'log':
+        if (world.verbose) console.error((world.clock.now / 1000).toFixed(2), this.name, o.level, o.text, o.fields);
+        if (o.level === 'error') world.errors.push(`${o.text} ${JSON.stringify(o.fields)}`);
+        break;
+    }
+  }
+
+  fromPeer(from: NodeName, message: PeerMessage): void {
+    this.step({ kind: 'peer', from, message });
+  }
+
+  beat(report: WorkerReport, reply: (a: WorkerAnswer) => void): void {
+    if (!this.node) return;
+    const req = ++this.requests;
+    this.waits.set(req, reply as (a: never) => void);
+    this.step({ kind: 'beat', req, report });
+  }
+
+  user(request: UserRequest, reply: (a: UserAnswer) => void): void {
+    if (!this.node) return;
+    const req = ++this.requests;
+    this.waits.set(req, reply as (a: never) => void);
+    this.step({ kind: 'user', req, request });
+  }
+}
+
+interface UserJob {
+  readonly spec: JobSpec;
+  readonly runMs: number;
+  settled: boolean;
+}
+
+export class World {
+  readonly clock: Clock;
+  readonly network: Network;
+  readonly state: StateService;
+  readonly cloud: Cloud;
+  readonly rules: Rules;
+  readonly nodes: Controller[] = [];
+  readonly workers = new Map<MachineId, Worker>();
+  readonly faulty = new Set<JobId>();
+  readonly errors: string[] = [];
+  readonly settings = { lease: LEASE_MS, report: REPORT_MS, gangWait: 40_000, gangPeer: 5000 };
+  verbose = process.env.SIM_LOG === '1';
+  private readonly jobs = new Map<JobId, UserJob>();
+  private readonly saved = new Map<string, number>();
+
+  constructor(readonly options: WorldOptions) {
+    this.clock = new Clock(options.seed);
+    this.network = new Network(this.clock);
+    this.state = new StateService(this.clock, { txnOps: 8, valueBytes: 8192 });
+    this.rules = new Rules(this.clock, options.teams, CANCEL_MS);
+    const names = Array.from({ length: options.nodes }, (_, i) => `perch-${i}` as NodeName);
+    for (const name of names) {
+      this.nodes.push(new Controller(this, name, makeSettings(name, names, options)));
+    }
+    this.cloud = new Cloud(this.clock, options.types, options.capacity, 3000, {
+      boot: (id, type, zone, spot) => this.boot(id, type, zone, spot),
+      gone: (id) => {
+        this.workers.get(id)?.die();
+        this.workers.delete(id);
+      },
+    });
+  }
+
+  startNodes(): void {
+    for (const n of this.nodes) this.clock.in(this.clock.between(0, 300), () => n.start());
+  }
+
+  boot(id: MachineId, type: MachineType, zone: ZoneName, spot: boolean): void {
+    this.workers.set(id, new Worker(this, id, type, zone, spot));
+  }
+
+  // ---- what workers ask of the world
+
+  mates(
+    job: JobId,
+    attempt: Attempt,
+  ): { worker: Worker; task: Worker['tasks'] extends Map<string, infer T> ? T : never }[] {
+    const found: ReturnType<World['mates']> = [];
+    for (const worker of this.workers.values()) {
+      for (const task of worker.tasks.values())
+        if (task.job === job && task.attempt === attempt) found.push({ worker, task });
+    }
+    return found;
+  }
+
+  runMs(job: JobId): number {
+    return this.jobs.get(job)?.runMs ?? 10_000;
+  }
+
+  progress(job: JobId, index: number): number {
+    return this.saved.get(`${job}/${index}`) ?? 0;
+  }
+
+  saveProgress(job: JobId, index: number, ms: number): void {
+    const key = `${job}/${index}`;
+    this.saved.set(key, Math.max(ms, this.saved.get(key) ?? 0));
+  }
+
+  // ---- users
+
+  private ask(request: UserRequest, done: (a: UserAnswer | null) => void): void {
+    const up = this.nodes.filter((n) => n.up);
+    const node = up.length > 0 ? this.clock.pick(up) : this.nodes[0];
+    if (!node) return done(null);
+    this.network.call<UserAnswer>('users', node.name, 5000, (reply) => node.user(request, reply), done);
+  }
+
+  submit(spec: JobSpec, runMs: number): void {
+    this.rules.submitted.set(spec.id, spec);
+    this.jobs.set(spec.id, { spec, runMs, settled: false });
+    this.submitAgain(spec, this.clock.now + 60_000);
+  }
+
+  private submitAgain(spec: JobSpec, until: number): void {
+    this.ask({ op: 'submit', id: spec.id, spec, problem: '' }, (a) => {
+      if (a) this.rules.told(spec.id, a);
+      if (a && 'mood' in a) return this.poll(spec.id);
+      if ((a === null || a.status === 503) && this.clock.now < until) {
+        this.clock.in(1000, () => this.submitAgain(spec, until));
+      }
+    });
+  }
+
+  private poll(id: JobId): void {
+    this.clock.in(this.clock.between(4000, 6000), () => {
+      this.ask({ op: 'poll', id }, (a) => {
+        if (a) this.rules.told(id, a);
+        const job = this.jobs.get(id);
+        if (job && this.rules.finalOf(id)) job.settled = true;
+        // Users may ask again at any later time: every final state is asked for twice more.
+        if (job?.settled) this.clock.in(10_000, () => this.ask({ op: 'poll', id }, (b) => b && this.rules.told(id, b)));
+        else this.poll(id);
+      });
+    });
+  }
+
+  cancel(id: JobId): void {
+    this.rules.cancelAsked.add(id);
+    const again = (until: number): void => {
+      this.ask({ op: 'cancel', id }, (a) => {
+        if (a) this.rules.told(id, a);
+        if ((a === null || a.status === 503) && this.clock.now < until) this.clock.in(1000, () => again(until));
+      });
+    };
+    again(this.clock.now + 60_000);
+  }
+
+  pollUnknown(id: JobId, seen: (a: UserAnswer | null) => void): void {
+    this.ask({ op: 'poll', id }, (a) => {
+      if (a) this.rules.told(id, a);
+      seen(a);
+    });
+  }
+}
+
+function makeSettings(name: NodeName, names: readonly NodeName[], options: WorldOptions): Settings {
+  const zone = options.zones[0] as ZoneName;
+  return {
+    node: name,
+    zone,
+    peers: names.filter((n) => n !== name).map((n) => ({ name: n, zone })),
+    nodes: names.length,
+    zones: options.zones,
+    skewMs: 25,
+    teams: options.teams,
+    workers: { reportMs: REPORT_MS, leaseMs: LEASE_MS, gangWaitMs: 40_000, gangPeerMs: 5000, cancelMs: CANCEL_MS },
+    store: { rps: 200, writeRps: 20, valueBytes: 8192, txnOps: 8 },
+    cloud: { rps: 5, listLagMs: 3000 },
+  };
+}
