Idle machines wait for work; GPU-free work shuns GPU machines; caches remembered

Cause: between planning a start and the worker's next report up to four seconds pass, and CPU-only array tasks filled the GPU machines that gangs need whole. A report of an empty machine is now answered late, when there is work or after 2.5 s; starts on GPU machines by GPU-free jobs and on ordinary machines by jobs that may use spot ones count some seconds later; overdue work is expected to go on; images held and fetch speed are kept with the machine's record.

--- a/src/config/tuning.ts
+++ b/src/config/tuning.ts
@@ -22,6 +22,9 @@
     weight_average: notNegative,
     weight_maximum: notNegative,
     weight_idle: notNegative,
+    gpu_reluctance_s: notNegative,
+    ordinary_reluctance_s: notNegative,
+    overdue_share: within(0, 10),
   }),
   machines: v.object({
     idle_return_s: notNegative,
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -63,6 +63,10 @@
   readonly placements = new Map<TaskKey, Placement>();
   exited: ExitedTask[] = [];
   readonly images = new Map<ImageName, CachedImage>();
+  /** How fast it fetches, against its type's nominal rate, as seen so far. */
+  fetchSpeed = 1;
+  /** The images the store is known to list for it, as text. */
+  recordedImages = '';
   usedCpus = 0;
   usedGpus = 0;
   usedMem = 0;
@@ -136,7 +140,7 @@
   /** Seconds until `image` would be there if a task asked for it now. */
   fetchSeconds(image: ImageName, gb: number, now: Steady): number {
     const cached = this.images.get(image);
-    const full = gb / Math.max(0.01, this.type.fetchGbPerS);
+    const full = gb / Math.max(0.01, this.type.fetchGbPerS * this.fetchSpeed);
     if (!cached) return full;
     if (cached.fetchingSince === null) return 0;
     return Math.max(1, full - (now - cached.fetchingSince) / 1000);
@@ -150,12 +154,32 @@
       return;
     }
     if (cached) {
+      if (cached.fetchingSince !== null) this.learnFetch(imageGb, (now - cached.fetchingSince) / 1000);
       cached.fetchingSince = null;
       cached.lastUse = now;
     } else this.images.set(image, { gb: imageGb, lastUse: now, fetchingSince: null });
     this.evict();
   }
 
+  /** A fetch seen from beginning to end tells how fast this machine is; one among several tells nothing. */
+  private learnFetch(gb: number, tookS: number): void {
+    let fetching = 0;
+    for (const c of this.images.values()) if (c.fetchingSince !== null) fetching += 1;
+    if (fetching > 1 || tookS < 2) return;
+    const speed = gb / this.type.fetchGbPerS / tookS;
+    this.fetchSpeed = Math.min(1.6, Math.max(0.5, 0.4 * this.fetchSpeed + 0.6 * speed));
+  }
+
+  /** The images it holds, as they stand in the store: a new leader need not find out again. */
+  cachedImages(): [string, number][] {
+    return [...this.images].filter(([, c]) => c.fetchingSince === null).map(([name, c]) => [name, c.gb]);
+  }
+
+  restoreImages(images: readonly (readonly [string, number])[], speed: number, now: Steady): void {
+    for (const [name, gb] of images) this.images.set(name as ImageName, { gb, lastUse: now, fetchingSince: null });
+    this.fetchSpeed = speed;
+  }
+
   /** A fetch is given up once no task waits for it. */
   dropUnwantedFetches(): void {
     for (const [image, cached] of this.images) {
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -15,6 +15,7 @@
   type JobState,
   jobKey,
   MACHINE_PREFIX,
+  type MachineRecord,
   machineKey,
 } from './records.js';
 import { applyReport, compileCommands } from './reports.js';
@@ -38,11 +39,17 @@
 const LAZY_WRITE_MS = 2500;
 const TXN_BYTES = 48_000;
 
+/** Workers drop an answer that comes after 4 s: an idle one is kept waiting for well less. */
+const IDLE_HOLD_SHARE = 0.8;
+const IDLE_HOLD_MOST_MS = 2500;
+
 interface HeldBeat {
   readonly req: RequestId;
   readonly machine: Machine;
   readonly seq: Seq;
   readonly until: Steady;
+  /** Kept back only in case work comes up: the machine is empty. */
+  readonly idle: boolean;
 }
 
 interface Snapshot {
@@ -52,6 +59,18 @@
   readonly done: [number, number][];
 }
 
+const imagesText = (m: Machine): string => m.cachedImages().join();
+
+const machineRecord = (m: Machine): MachineRecord => ({
+  id: m.id,
+  addr: m.addr,
+  type: m.typeName,
+  zone: m.zone,
+  spot: m.spot,
+  images: m.cachedImages(),
+  fetchSpeed: m.fetchSpeed,
+});
+
 /** Everything the holder of the lead does. A new one is made for every term. */
 export class Leader {
   readonly cluster: Cluster;
@@ -157,6 +176,8 @@
     const m = new Machine(record.id, type, record.zone, record.spot, record.addr, false, 'up', this.ctx.now.steady);
     m.registered = true;
     m.registryAddr = record.addr;
+    m.restoreImages(record.images, record.fetchSpeed, this.ctx.now.steady);
+    m.recordedImages = imagesText(m);
     this.cluster.machines.set(m.id, m);
   }
 
@@ -270,12 +291,13 @@
     const known = m.session === report.session ? m.seq : null;
     const freed = this.takeReport(m, report, true);
     if (m.seq !== report.seq || m.session !== report.session || known === report.seq) return answer();
-    const beat: HeldBeat = { req, machine: m, seq: report.seq, until: this.at(HOLD_MS) };
+    const beat: HeldBeat = { req, machine: m, seq: report.seq, until: this.at(HOLD_MS), idle: false };
     if (freed || first) {
       // Room came free: plan at once, so that the answer already carries what starts in it.
       this.soonRound();
       this.hold(beat);
     } else if (this.waitsForStore(m)) this.hold(beat);
+    else if (this.mayIdle(m, report)) this.hold({ ...beat, until: this.at(this.idleHoldMs()), idle: true });
     else this.answerBeat(beat);
   }
 
@@ -296,9 +318,24 @@
     return freed;
   }
 
+  /**
+   * An empty machine's report is answered late on purpose: work that comes up meanwhile starts at once instead of with
+   * its next report. Nothing can change on an empty machine that the delay would hide, except a notice.
+   */
+  private mayIdle(m: Machine, report: WorkerReport): boolean {
+    return (
+      m.placements.size === 0 && m.exited.length === 0 && report.token === this.leadership.token && m.draining === null
+    );
+  }
+
+  private idleHoldMs(): number {
+    return Math.min(IDLE_HOLD_MOST_MS, this.ctx.settings.workers.reportMs * IDLE_HOLD_SHARE);
+  }
+
   private hold(beat: HeldBeat): void {
     this.held.push(beat);
-    this.ctx.timers.set('held', this.at(HOLD_MS));
+    const due = this.ctx.timers.at('held');
+    if (due === null || beat.until < due) this.ctx.timers.set('held', beat.until);
   }
 
   private waitsForStore(m: Machine): boolean {
@@ -314,11 +351,13 @@
     const pendingRound = this.ctx.timers.has('round', this.at(this.ctx.tuning.scheduler.spacing_ms));
     const kept: HeldBeat[] = [];
     for (const h of this.held) {
-      if (h.until > now && (pendingRound || (this.waitsForStore(h.machine) && this.writesInFlight > 0))) kept.push(h);
+      const writing = this.waitsForStore(h.machine) && this.writesInFlight > 0;
+      const idle = h.idle && h.machine.placements.size === 0;
+      if (h.until > now && (idle || writing || (pendingRound && !h.idle))) kept.push(h);
       else this.answerBeat(h);
     }
     this.held = kept;
-    if (kept.length > 0) this.ctx.timers.set('held', kept[0]?.until ?? now);
+    if (kept.length > 0) this.ctx.timers.set('held', Math.min(...kept.map((h) => h.until)) as Steady);
   }
 
   private answerBeat(h: HeldBeat): void {
@@ -494,10 +533,11 @@
         this.newMachines.delete(m);
         if (this.cluster.machines.get(m.id) !== m || m.phase === 'booting' || m.registering || m.registered) continue;
         m.registering = true;
+        m.recordedImages = imagesText(m);
         machines.push(m);
         changes.push({
           put: machineKey(m.id),
-          value: encodeMachine({ id: m.id, addr: m.addr, type: m.typeName, zone: m.zone, spot: m.spot }),
+          value: encodeMachine(machineRecord(m)),
         });
       }
       let bytes = changes.length * 200;
@@ -521,6 +561,7 @@
         conditions.push({ key: jobKey(job.id), version: job.version });
         changes.push({ put: jobKey(job.id), value: encodeJob(record, most) });
       }
+      if (changes.length > 0 || !urgent) this.addImageHints(changes, txnOps);
       for (const id of this.dropMachines) {
         if (changes.length >= txnOps) break;
         this.dropMachines.delete(id);
@@ -532,6 +573,17 @@
     }
   }
 
+  /** Fills a transaction up with machines whose cached images have changed. */
+  private addImageHints(changes: Change[], txnOps: number): void {
+    for (const m of this.cluster.machines.values()) {
+      if (changes.length >= txnOps) return;
+      if (!m.registered || m.deleting || imagesText(m) === m.recordedImages) continue;
+      if (changes.some((c) => 'put' in c && c.put === machineKey(m.id))) continue;
+      m.recordedImages = imagesText(m);
+      changes.push({ put: machineKey(m.id), value: encodeMachine(machineRecord(m)) });
+    }
+  }
+
   private mostRanges(): number {
     return Math.max(4, Math.floor((this.ctx.settings.store.valueBytes - 2000) / 16));
   }
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -27,6 +27,9 @@
   readonly type: TypeName;
   readonly zone: ZoneName;
   readonly spot: boolean;
+  /** Images it is known to hold, and how fast it fetches: hints that save a new leader from finding out again. */
+  readonly images: readonly (readonly [string, number])[];
+  readonly fetchSpeed: number;
 }
 
 export interface LeaderRecord {
@@ -36,6 +39,9 @@
   readonly term: number;
 }
 
+/** Bounds a machine's record well below the store's limit for a value. */
+const IMAGES_KEPT = 40;
+
 type Fields = Record<string, unknown>;
 const isFields = (v: unknown): v is Fields => typeof v === 'object' && v !== null && !Array.isArray(v);
 
@@ -67,7 +73,15 @@
 }
 
 export function encodeMachine(m: MachineRecord): Fields {
-  return { v: 1, addr: m.addr, type: m.type, zone: m.zone, spot: m.spot };
+  return {
+    v: 1,
+    addr: m.addr,
+    type: m.type,
+    zone: m.zone,
+    spot: m.spot,
+    images: m.images.slice(0, IMAGES_KEPT),
+    speed: m.fetchSpeed,
+  };
 }
 
 export function decodeMachine(key: string, value: unknown): MachineRecord | null {
@@ -78,6 +92,8 @@
     type: String(value.type) as TypeName,
     zone: String(value.zone) as ZoneName,
     spot: value.spot === true,
+    images: Array.isArray(value.images) ? (value.images as [string, number][]) : [],
+    fetchSpeed: typeof value.speed === 'number' && value.speed > 0 ? value.speed : 1,
   };
 }
 
--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -52,6 +52,14 @@
   readonly steps: number;
 }
 
+/** Seconds of start time that a job would rather wait than take a machine that others need more. */
+export interface Reluctance {
+  /** For a machine with GPUs, by a job that asks for none. */
+  readonly gpuS: number;
+  /** For an ordinary machine, by a job that may use a spot one: cheaper, and the others can't. */
+  readonly ordinaryS: number;
+}
+
 export interface Weights {
   readonly average: number;
   readonly maximum: number;
@@ -130,6 +138,7 @@
 interface Candidate {
   readonly machine: PlanMachine;
   readonly fetchS: number;
+  readonly reluctanceS: number;
   step: number;
   count: number;
   startS: number;
@@ -154,13 +163,20 @@
 }
 
 const better = (a: Candidate, b: Candidate): boolean =>
-  a.startS < b.startS - 0.5 || (a.startS < b.startS + 0.5 && a.slack < b.slack);
+  preference(a) < preference(b) - 0.5 || (preference(a) < preference(b) + 0.5 && a.slack < b.slack);
+
+const preference = (c: Candidate): number => c.startS + c.reluctanceS;
+
+const preferred = (c: Candidate): number => c.fetchS + c.reluctanceS;
 
 /** Plans all jobs, in the order given, each in the zone its gene names. */
 export class Planner {
   steps = 0;
 
-  constructor(private readonly weights: Weights) {}
+  constructor(
+    private readonly weights: Weights,
+    private readonly reluctance: Reluctance = { gpuS: 0, ordinaryS: 0 },
+  ) {}
 
   plan(base: readonly PlanMachine[], jobs: readonly PlanJob[], genes: readonly ZoneName[]): Plan {
     const machines = base.map(cloneMachine);
@@ -207,12 +223,25 @@
     return (total + left * UNPLACED_S) / Math.max(1, job.tasks);
   }
 
+  private reluctanceS(job: PlanJob, m: PlanMachine): number {
+    const { gpuS, ordinaryS } = this.reluctance;
+    return (job.gpus === 0 && m.type.gpus > 0 ? gpuS : 0) + (job.spotOk && !m.spot ? ordinaryS : 0);
+  }
+
   private candidates(machines: readonly PlanMachine[], job: PlanJob, zones: readonly ZoneName[]): Candidate[] {
     const found: Candidate[] = [];
     for (const m of machines) {
       if (!zones.includes(m.zone) || !eligible(job, m)) continue;
       this.steps += m.times.length;
-      found.push({ machine: m, fetchS: m.fetchS(job.image, job.imageGb), step: 0, count: 0, startS: 0, slack: 0 });
+      found.push({
+        machine: m,
+        fetchS: m.fetchS(job.image, job.imageGb),
+        reluctanceS: this.reluctanceS(job, m),
+        step: 0,
+        count: 0,
+        startS: 0,
+        slack: 0,
+      });
     }
     return found;
   }
@@ -302,7 +331,7 @@
     options.sort(
       (a, b) =>
         Number(a.c.machine.zone !== zone) - Number(b.c.machine.zone !== zone) ||
-        (Math.abs(a.c.fetchS - b.c.fetchS) > 0.5 ? a.c.fetchS - b.c.fetchS : a.slack - b.slack) ||
+        (Math.abs(preferred(a.c) - preferred(b.c)) > 0.5 ? preferred(a.c) - preferred(b.c) : a.slack - b.slack) ||
         a.c.machine.slot - b.c.machine.slot,
     );
     const room = job.zoneRoom ? new Map(job.zoneRoom) : null;
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -28,8 +28,10 @@
   if (p.runningSince === null) {
     return p.machine.fetchSeconds(spec.image, spec.imageGb, now) + expected;
   }
-  // Overdue work is taken to end one report period from now.
-  return Math.max(report, expected - (now - p.runningSince) / 1000);
+  const elapsed = (now - p.runningSince) / 1000;
+  // The longer work has run over what was expected, the longer it is likely to go on: taking overdue work to end at once
+  // makes others wait for gaps that never come.
+  return Math.max(report, expected - elapsed, elapsed * cluster.ctx.tuning.scheduler.overdue_share);
 }
 
 /** When a machine that was rented but hasn't reported is expected, in seconds from now. */
@@ -151,11 +153,10 @@
     planJobs.push(planJob(cluster, job, tasks, zones, waitedS, jobs.length, machines));
     jobs.push(job);
   }
-  const planner = new Planner({
-    average: tuning.weight_average,
-    maximum: tuning.weight_maximum,
-    idle: tuning.weight_idle,
-  });
+  const planner = new Planner(
+    { average: tuning.weight_average, maximum: tuning.weight_maximum, idle: tuning.weight_idle },
+    { gpuS: tuning.gpu_reluctance_s, ordinaryS: tuning.ordinary_reluctance_s },
+  );
   const search = new Evolution(planner, xoroshiro128plus(seed), {
     individuals: tuning.individuals,
     generations: tuning.generations,
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -44,6 +44,9 @@
     readonly weight_average: number;
     readonly weight_maximum: number;
     readonly weight_idle: number;
+    readonly gpu_reluctance_s: number;
+    readonly ordinary_reluctance_s: number;
+    readonly overdue_share: number;
   };
   readonly machines: {
     readonly idle_return_s: number;
