--- a/src/config/platform.ts
+++ b/src/config/platform.ts
@@ -23,6 +23,18 @@
     zones: v.pipe(v.array(name), v.minLength(1)),
     skew_ms: v.optional(notNegative, 0),
     teams: v.array(team),
+    // Kinds of objective that we don't know bear on nothing here.
+    objectives: v.optional(
+      v.array(
+        v.object({
+          kind: name,
+          class: v.optional(v.string(), ''),
+          within_s: v.optional(notNegative, 0),
+          times: v.optional(positive, 1),
+        }),
+      ),
+      [],
+    ),
     workers: v.object({
       report_s: positive,
       lease_s: positive,
@@ -71,6 +83,11 @@
         cpusMax: t.cpus_max,
         gpusMax: t.gpus_max,
       })),
+      objectives: d.objectives.flatMap((o) =>
+        o.kind === 'wait' || o.kind === 'finished' || o.kind === 'deadline'
+          ? [{ kind: o.kind, jobClass: o.class, withinS: o.within_s, times: o.times }]
+          : [],
+      ),
       workers: {
         reportMs: d.workers.report_s * 1000,
         leaseMs: d.workers.lease_s * 1000,
--- a/src/config/tuning.ts
+++ b/src/config/tuning.ts
@@ -25,6 +25,8 @@
     gpu_reluctance_s: notNegative,
     ordinary_reluctance_s: notNegative,
     overdue_share: within(0, 10),
+    urgency: notNegative,
+    urgency_horizon_s: positive,
   }),
   machines: v.object({
     idle_return_s: notNegative,
--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -216,6 +216,7 @@
       if (n > 0) this.rent(kind, Math.min(n, RENT_AT_ONCE));
     }
     this.fillGuarantees();
+    this.moveToSpot();
   }
 
   private beingRented(kind: Kind): number {
@@ -264,8 +265,7 @@
       for (const zone of type.zones) {
         if (!job.zones.includes(zone) && this.zoneBound(job)) continue;
         for (const spot of job.spotOk ? [true, false] : [false]) {
-          const blocked = this.refusedUntil.get(kindKey(type.name, zone, spot));
-          if (blocked && blocked.until > this.now) continue;
+          if (this.refused(type, zone, spot)) continue;
           const price = spot ? type.spotPrice * 1.1 : type.price;
           const cost = (price / used) * (1 + 0.01 * this.countIn(zone, type));
           if (cost < bestCost) {
@@ -300,8 +300,7 @@
       if (gain <= 0) continue;
       for (const zone of type.zones) {
         for (const spot of [false, true]) {
-          const blocked = this.refusedUntil.get(kindKey(type.name, zone, spot));
-          if (blocked && blocked.until > this.now) continue;
+          if (this.refused(type, zone, spot)) continue;
           kinds.push({ kind: { type, zone, spot }, cost: type.price / gain + (spot ? 1000 : 0) });
         }
       }
@@ -313,6 +312,35 @@
     this.rent(first, Math.min(Math.ceil(missing), RENT_AT_ONCE));
   }
 
+  /**
+   * Work that may run on spot machines but sits on ordinary ones is paid several times over: while there is a machine's
+   * worth of it, a spot machine is asked for. New work then prefers it, and ordinary machines fall idle and go.
+   */
+  private moveToSpot(): void {
+    const dear = new Map<MachineType, number>();
+    for (const m of this.cluster.machines.values()) {
+      if (m.spot || m.phase !== 'up') continue;
+      let share = 0;
+      for (const p of m.placements.values()) {
+        const { spec } = p.job;
+        if (spec.spotOk) share += Math.max(spec.gpus / Math.max(1, m.type.gpus), spec.cpus / m.type.cpus);
+      }
+      dear.set(m.type, (dear.get(m.type) ?? 0) + share);
+    }
+    for (const [type, share] of dear) {
+      if (share < 0.7 || type.spotPrice > 0.6 * type.price) continue;
+      if ([...this.rentals.values()].some((r) => r.kind.type === type && r.kind.spot)) continue;
+      if ([...this.cluster.machines.values()].some((m) => m.type === type && m.spot && m.phase === 'booting')) continue;
+      const zone = type.zones.find((z) => !this.refused(type, z, true));
+      if (zone) this.rent({ type, zone, spot: true }, 1);
+    }
+  }
+
+  private refused(type: MachineType, zone: ZoneName, spot: boolean): boolean {
+    const blocked = this.refusedUntil.get(kindKey(type.name, zone, spot));
+    return blocked !== undefined && blocked.until > this.now;
+  }
+
   private rent(kind: Kind, count: number): void {
     this.requests += 1;
     // The term makes the name unique among all nodes; a name is never used for a second request.
--- a/src/core/scheduler/priority.ts
+++ b/src/core/scheduler/priority.ts
@@ -1,3 +1,4 @@
+import type { Objective } from '../settings.js';
 import type { JobSpec, Rank } from '../types.js';
 
 /** The user's priority as the design's weight of waiting. */
@@ -11,3 +12,33 @@
   const asked = (spec.gpus > 0 ? spec.gpus : spec.cpus) * tasks;
   return (asked * remainingS) / (1 + userWeight(spec.rank) * Math.max(0, waitedS));
 }
+
+export interface UrgencySettings {
+  readonly most: number;
+  readonly horizonS: number;
+}
+
+/**
+ * How much sooner than by the ranking alone a job goes because an aim of its class, or its deadline, comes near: 1 with
+ * time to spare, up to 1 + `most` at the last moment, and 1 again for each aim that can't be met any more.
+ */
+export function urgency(
+  spec: JobSpec,
+  objectives: readonly Objective[],
+  waitedS: number,
+  fetchS: number,
+  runS: number,
+  settings: UrgencySettings,
+): number {
+  let most = 0;
+  for (const o of objectives) {
+    if (o.jobClass !== spec.jobClass) continue;
+    let slack = Number.POSITIVE_INFINITY;
+    if (o.kind === 'wait') slack = o.withinS - waitedS - fetchS;
+    else if (o.kind === 'finished') slack = o.withinS - waitedS - fetchS - runS;
+    else if (spec.deadlineS !== null) slack = spec.deadlineS * o.times - waitedS - fetchS - runS;
+    if (slack < 0) continue;
+    most = Math.max(most, 1 - slack / settings.horizonS);
+  }
+  return 1 + settings.most * Math.max(0, most);
+}
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -5,7 +5,7 @@
 import type { MachineType, Steady, ZoneName } from '../types.js';
 import { Evolution } from './evolution.js';
 import { type Plan, type PlanJob, type PlanMachine, type PlannedStart, Planner } from './planner.js';
-import { rankValue, userWeight } from './priority.js';
+import { rankValue, urgency, userWeight } from './priority.js';
 
 /** What a round found out, for the autoscaler. */
 export interface RoundResult {
@@ -119,6 +119,15 @@
   return found;
 }
 
+/** A fetch at the pace of the slowest type that could host the job: how long it takes if nothing is cached. */
+function fetchGuessS(cluster: Cluster, job: Job): number {
+  let rate = Number.POSITIVE_INFINITY;
+  for (const t of cluster.types.values()) {
+    if (t.zones.some((z) => couldHost(job, t, z))) rate = Math.min(rate, t.fetchGbPerS);
+  }
+  return Number.isFinite(rate) ? job.spec.imageGb / Math.max(0.01, rate) : 0;
+}
+
 /** One planning round: rank, search zones, plan, and give places to what can start now. */
 export function scheduleRound(cluster: Cluster, seed: number): RoundResult {
   const { ctx } = cluster;
@@ -141,7 +150,13 @@
     const tasks = job.spec.shape === 'gang' ? waiting : Math.min(waiting, room);
     if (tasks <= 0 || tasks > room) continue;
     const waitedS = Math.max(0, (ctx.now.wall - job.submittedAt) / 1000);
-    const value = rankValue(job.spec, tasks, cluster.estimates.expectS(job.spec), waitedS);
+    const runS = cluster.estimates.expectS(job.spec);
+    const value =
+      rankValue(job.spec, tasks, runS, waitedS) /
+      urgency(job.spec, ctx.settings.objectives, waitedS, fetchGuessS(cluster, job), runS, {
+        most: tuning.urgency,
+        horizonS: tuning.urgency_horizon_s,
+      });
     ranked.push({ job, tasks, waitedS, first: guaranteed.has(job.spec.team), value });
   }
   ranked.sort((a, b) => Number(b.first) - Number(a.first) || a.value - b.value || (a.job.id < b.job.id ? -1 : 1));
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -1,5 +1,14 @@
 import type { NodeName, Team, ZoneName } from './types.js';
 
+/** What the operators expect of a class of jobs; only what bears on order is kept. */
+export interface Objective {
+  readonly kind: 'wait' | 'finished' | 'deadline';
+  readonly jobClass: string;
+  readonly withinS: number;
+  /** For deadlines: how many times the deadline. */
+  readonly times: number;
+}
+
 /** What the platform says about this deployment, as the core needs it. */
 export interface Settings {
   readonly node: NodeName;
@@ -9,6 +18,7 @@
   readonly zones: readonly ZoneName[];
   readonly skewMs: number;
   readonly teams: readonly Team[];
+  readonly objectives: readonly Objective[];
   readonly workers: {
     readonly reportMs: number;
     readonly leaseMs: number;
@@ -47,6 +57,8 @@
     readonly gpu_reluctance_s: number;
     readonly ordinary_reluctance_s: number;
     readonly overdue_share: number;
+    readonly urgency: number;
+    readonly urgency_horizon_s: number;
   };
   readonly machines: {
     readonly idle_return_s: number;
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -321,6 +321,7 @@
     zones: options.zones,
     skewMs: 25,
     teams: options.teams,
+    objectives: [],
     workers: { reportMs: REPORT_MS, leaseMs: LEASE_MS, gangWaitMs: 40_000, gangPeerMs: 5000, cancelMs: CANCEL_MS },
     store: { rps: 200, writeRps: 20, valueBytes: 8192, txnOps: 8 },
     cloud: { rps: 5, listLagMs: 3000 },
