--- a/src/config/tuning.ts
+++ b/src/config/tuning.ts
@@ -24,6 +24,8 @@
     weight_idle: notNegative,
     gpu_reluctance_s: notNegative,
     ordinary_reluctance_s: notNegative,
+    warm_reluctance_s: notNegative,
+    future_doubt: within(0, 10),
     overdue_share: within(0, 10),
     urgency: notNegative,
     urgency_horizon_s: positive,
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -4,7 +4,7 @@
 import { Job, type Placement, type PlacementPhase } from './jobs.js';
 import { Quotas } from './quotas.js';
 import type { JobRecord } from './records.js';
-import type { Attempt, JobId, MachineId, MachineType, Revision, TypeName } from './types.js';
+import type { Attempt, ImageName, JobId, MachineId, MachineType, Resources, Revision, TypeName } from './types.js';
 
 /** What the leader knows: jobs, machines, and which task may be on which machine. */
 export class Cluster {
@@ -16,6 +16,8 @@
   readonly gone = new Set<MachineId>();
   readonly quotas: Quotas;
   readonly estimates = new Estimates();
+  /** The largest tasks seen that use an image. */
+  readonly imageUsers = new Map<ImageName, Resources>();
   types: ReadonlyMap<TypeName, MachineType> = new Map();
   private attempts = 0n;
 
@@ -42,6 +44,8 @@
     }
     const job = new Job(record, version);
     this.jobs.set(job.id, job);
+    const user = this.imageUsers.get(job.spec.image);
+    if (!user || user.gpus < job.spec.gpus || user.cpus < job.spec.cpus) this.imageUsers.set(job.spec.image, job.spec);
     if (job.state === 'accepted') this.active.add(job);
     return job;
   }
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -28,6 +28,8 @@
   lastUse: Steady;
   /** While it is being fetched: since when. */
   fetchingSince: Steady | null;
+  /** Whether the fetch was seen from its beginning. */
+  whole: boolean;
 }
 
 /** After so many report periods without a word a machine gets no new work. */
@@ -60,6 +62,8 @@
   returning = false;
   lastListedAt: Steady | null = null;
   directInFlight = false;
+  /** Kept for a moment for a job that is on its way here. */
+  reserved: { readonly job: JobId; readonly until: Steady } | null = null;
   readonly placements = new Map<TaskKey, Placement>();
   exited: ExitedTask[] = [];
   readonly images = new Map<ImageName, CachedImage>();
@@ -146,18 +150,18 @@
     return Math.max(1, full - (now - cached.fetchingSince) / 1000);
   }
 
-  noteImage(job: Job, fetching: boolean, now: Steady): void {
+  noteImage(job: Job, fetching: boolean, now: Steady, fromStart = false): void {
     const { image, imageGb } = job.spec;
     const cached = this.images.get(image);
     if (fetching) {
-      if (!cached) this.images.set(image, { gb: imageGb, lastUse: now, fetchingSince: now });
+      if (!cached) this.images.set(image, { gb: imageGb, lastUse: now, fetchingSince: now, whole: fromStart });
       return;
     }
     if (cached) {
-      if (cached.fetchingSince !== null) this.learnFetch(imageGb, (now - cached.fetchingSince) / 1000);
+      if (cached.fetchingSince !== null && cached.whole) this.learnFetch(imageGb, (now - cached.fetchingSince) / 1000);
       cached.fetchingSince = null;
       cached.lastUse = now;
-    } else this.images.set(image, { gb: imageGb, lastUse: now, fetchingSince: null });
+    } else this.images.set(image, { gb: imageGb, lastUse: now, fetchingSince: null, whole: false });
     this.evict();
   }
 
@@ -176,7 +180,9 @@
   }
 
   restoreImages(images: readonly (readonly [string, number])[], speed: number, now: Steady): void {
-    for (const [name, gb] of images) this.images.set(name as ImageName, { gb, lastUse: now, fetchingSince: null });
+    for (const [name, gb] of images) {
+      this.images.set(name as ImageName, { gb, lastUse: now, fetchingSince: null, whole: false });
+    }
     this.fetchSpeed = speed;
   }
 
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -19,6 +19,7 @@
   machineKey,
 } from './records.js';
 import { applyReport, compileCommands } from './reports.js';
+import { moveToCached } from './scheduler/moves.js';
 import { scheduleRound } from './scheduler/round.js';
 import {
   type JobId,
@@ -432,6 +433,7 @@
     if (!this.valid() || !this.loaded) return;
     this.rounds += 1;
     const result = scheduleRound(this.cluster, (this.seed + this.rounds * 7919) | 0);
+    moveToCached(this.cluster);
     this.scaler.consider(result);
     this.flush();
     this.releaseHeld();
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -99,16 +99,16 @@
     ctx.timers.set('flush', ctx.now.steady);
   }
   if (!mine) return false;
-  if (!done) noteFailure(cluster, m, job, t);
+  if (!done) noteFailure(cluster, m, job, t, p.runningSince !== null);
   cluster.release(p);
   return true;
 }
 
-function noteFailure(cluster: Cluster, m: Machine, job: Job, t: TaskReport): void {
+function noteFailure(cluster: Cluster, m: Machine, job: Job, t: TaskReport, ran: boolean): void {
   const { ctx } = cluster;
   const now = ctx.now.steady;
   if (t.reason === 'stopped' || t.reason === 'peers_gone') {
-    job.failures += 1;
+    if (ran) job.failures += 1;
     return;
   }
   ctx.log('info', 'task ended early', { task: taskKey(t.job, t.index), machine: m.id, reason: t.reason });
@@ -155,10 +155,23 @@
     if (job.state === 'cancelled') cluster.stop(p, 0);
     if (job.spec.shape === 'array' && job.isDone(t.index)) cluster.stop(p, 0);
   }
+  const fromStart = p.phase === 'sent';
   p.phase = t.phase as 'running';
-  if (t.phase === 'fetching') m.noteImage(job, true, now);
+  if (t.phase === 'fetching') m.noteImage(job, true, now, fromStart);
   else m.noteImage(job, false, now);
-  if (t.phase === 'running' && p.runningSince === null) p.runningSince = now;
+  if (t.phase === 'running' && p.runningSince === null) {
+    p.runningSince = now;
+    cluster.ctx.log('debug', 'task runs', {
+      task: taskKey(t.job, t.index),
+      machine: m.id,
+      jobClass: job.spec.jobClass,
+      image: job.spec.image,
+      imageGb: job.spec.imageGb,
+      placedAgoS: (now - p.since) / 1000,
+      submittedAgoS: (cluster.ctx.now.wall - job.submittedAt) / 1000,
+      fetchSpeed: m.fetchSpeed,
+    });
+  }
 }
 
 /** What to tell a worker: results to drop first, then stops, then starts. */
--- /dev/null
+++ b/src/core/scheduler/moves.ts
@@ -0,0 +1,60 @@
+import type { Cluster } from '../cluster.js';
+import type { Machine } from '../fleet.js';
+import type { Job } from '../jobs.js';
+import { steadyPlus } from '../types.js';
+import { mayHost } from './round.js';
+
+const WORTH_S = 6;
+const MOVES_MOST = 3;
+const RESERVED_MS = 2500;
+
+/**
+ * A gang that still waits for its image may go to machines that hold it and have just come free: nothing is lost by
+ * stopping a fetch. So a gang need not bet on when a machine will be free: it begins to fetch at once, and moves if that
+ * turns out better. Starts follow only once the stop is reported, as for any restart.
+ */
+export function moveToCached(cluster: Cluster): number {
+  let moved = 0;
+  for (const job of cluster.active) {
+    if (job.spec.shape !== 'gang' || job.state !== 'accepted' || job.broken || job.moves >= MOVES_MOST) continue;
+    if (job.placements.size !== job.spec.tasks || fetchLeftS(cluster, job) < WORTH_S) continue;
+    const targets = cachedRoom(cluster, job);
+    if (!targets) continue;
+    job.moves += 1;
+    moved += 1;
+    for (const m of targets) m.reserved = { job: job.id, until: steadyPlus(cluster.ctx.now.steady, RESERVED_MS) };
+    cluster.ctx.log('debug', 'moving to where the image is', { job: job.id, to: targets.map((m) => m.id).join() });
+    cluster.breakGang(job);
+  }
+  return moved;
+}
+
+/** Seconds until the gang's last image is there; 0 if any of its tasks is past fetching. */
+function fetchLeftS(cluster: Cluster, job: Job): number {
+  let most = 0;
+  for (const p of job.placements.values()) {
+    if (p.phase !== 'fetching' || p.stop !== null) return 0;
+    most = Math.max(most, p.machine.fetchSeconds(job.spec.image, job.spec.imageGb, cluster.ctx.now.steady));
+  }
+  return most;
+}
+
+/** Machines that hold the image and have room for the whole gang now, in one zone if the job wants that. */
+function cachedRoom(cluster: Cluster, job: Job): Machine[] | null {
+  const { spec } = job;
+  // Spreading, and room for several tasks on one machine, aren't worth their rules here.
+  if (spec.spread) return null;
+  const now = cluster.ctx.now.steady;
+  const byZone = new Map<string, Machine[]>();
+  for (const m of cluster.machines.values()) {
+    const image = m.images.get(spec.image);
+    if (!image || image.fetchingSince !== null || !mayHost(cluster, job, m, true)) continue;
+    if (m.reserved && m.reserved.until > now && m.reserved.job !== job.id) continue;
+    const zone = spec.sameZone ? m.zone : 'any';
+    const found = byZone.get(zone) ?? [];
+    found.push(m);
+    byZone.set(zone, found);
+    if (found.length === spec.tasks) return found;
+  }
+  return null;
+}
--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -12,6 +12,8 @@
   gpus: number[];
   mem: number[];
   fetchS(image: ImageName, gb: number): number;
+  /** Largest share of a machine that a job needs whose image it holds. */
+  readonly warmShare: number;
 }
 
 export interface PlanJob extends Resources {
@@ -58,6 +60,10 @@
   readonly gpuS: number;
   /** For an ordinary machine, by a job that may use a spot one: cheaper, and the others can't. */
   readonly ordinaryS: number;
+  /** For a machine that holds images of larger jobs: those would have to fetch elsewhere. */
+  readonly warmS: number;
+  /** Room in the future counts this much more than its time: what is expected to end often doesn't. */
+  readonly doubt: number;
 }
 
 export interface Weights {
@@ -73,6 +79,12 @@
   return { ...m, times: m.times.slice(), cpus: m.cpus.slice(), gpus: m.gpus.slice(), mem: m.mem.slice() };
 }
 
+/** The part of a machine that one task takes, by what it takes most of. */
+export function machineShare(r: Resources, t: MachineType): number {
+  const of = (a: number, b: number): number => (b > 0 ? a / b : 0);
+  return Math.max(of(r.cpus, t.cpus), of(r.gpus, t.gpus), of(r.memGb, t.memGb));
+}
+
 const at = (xs: number[], i: number): number => xs[i] as number;
 
 export function eligible(job: PlanJob, m: PlanMachine): boolean {
@@ -139,6 +151,7 @@
   readonly machine: PlanMachine;
   readonly fetchS: number;
   readonly reluctanceS: number;
+  readonly doubt: number;
   step: number;
   count: number;
   startS: number;
@@ -165,7 +178,7 @@
 const better = (a: Candidate, b: Candidate): boolean =>
   preference(a) < preference(b) - 0.5 || (preference(a) < preference(b) + 0.5 && a.slack < b.slack);
 
-const preference = (c: Candidate): number => c.startS + c.reluctanceS;
+const preference = (c: Candidate): number => c.startS + c.doubt * at(c.machine.times, c.step) + c.reluctanceS;
 
 const preferred = (c: Candidate): number => c.fetchS + c.reluctanceS;
 
@@ -175,7 +188,7 @@
 
   constructor(
     private readonly weights: Weights,
-    private readonly reluctance: Reluctance = { gpuS: 0, ordinaryS: 0 },
+    private readonly reluctance: Reluctance = { gpuS: 0, ordinaryS: 0, warmS: 0, doubt: 0 },
   ) {}
 
   plan(base: readonly PlanMachine[], jobs: readonly PlanJob[], genes: readonly ZoneName[]): Plan {
@@ -224,8 +237,12 @@
   }
 
   private reluctanceS(job: PlanJob, m: PlanMachine): number {
-    const { gpuS, ordinaryS } = this.reluctance;
-    return (job.gpus === 0 && m.type.gpus > 0 ? gpuS : 0) + (job.spotOk && !m.spot ? ordinaryS : 0);
+    const { gpuS, ordinaryS, warmS } = this.reluctance;
+    let s = 0;
+    if (job.gpus === 0 && m.type.gpus > 0) s += gpuS;
+    if (job.spotOk && !m.spot) s += ordinaryS;
+    if (m.warmShare > machineShare(job, m.type) + 0.01) s += warmS;
+    return s;
   }
 
   private candidates(machines: readonly PlanMachine[], job: PlanJob, zones: readonly ZoneName[]): Candidate[] {
@@ -237,6 +254,7 @@
         machine: m,
         fetchS: m.fetchS(job.image, job.imageGb),
         reluctanceS: this.reluctanceS(job, m),
+        doubt: this.reluctance.doubt,
         step: 0,
         count: 0,
         startS: 0,
@@ -290,15 +308,17 @@
     const instants = new Set<number>();
     for (const c of candidates) for (const t of c.machine.times) instants.add(t);
     let best: { roomAt: number; startS: number; chosen: { c: Candidate; n: number }[] } | null = null;
+    const doubted = (roomAt: number, startS: number): number => startS + this.reluctance.doubt * roomAt;
     let tried = 0;
     for (const t of [...instants].sort((a, b) => a - b)) {
-      if (best !== null && t >= best.startS) break;
+      if (best !== null && doubted(t, t) >= doubted(best.roomAt, best.startS)) break;
       if (++tried > 40) break;
       const chosen = this.gangAt(candidates, job, zone, t);
       if (!chosen) continue;
       let fetch = 0;
       for (const { c } of chosen) fetch = Math.max(fetch, c.fetchS);
-      if (best === null || t + fetch < best.startS - 0.5) best = { roomAt: t, startS: t + fetch, chosen };
+      if (best === null || doubted(t, t + fetch) < doubted(best.roomAt, best.startS) - 0.5)
+        best = { roomAt: t, startS: t + fetch, chosen };
     }
     if (best === null) {
       unplaced.set(job.slot, job.tasks);
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -4,7 +4,7 @@
 import type { Job, Placement } from '../jobs.js';
 import type { MachineType, Steady, ZoneName } from '../types.js';
 import { Evolution } from './evolution.js';
-import { type Plan, type PlanJob, type PlanMachine, type PlannedStart, Planner } from './planner.js';
+import { machineShare, type Plan, type PlanJob, type PlanMachine, type PlannedStart, Planner } from './planner.js';
 import { rankValue, urgency, userWeight } from './priority.js';
 
 /** What a round found out, for the autoscaler. */
@@ -72,9 +72,19 @@
     gpus,
     mem,
     fetchS: (image, gb) => m.fetchSeconds(image, gb, now),
+    warmShare: warmShare(cluster, m),
   };
 }
 
+function warmShare(cluster: Cluster, m: Machine): number {
+  let most = 0;
+  for (const [name, cached] of m.images) {
+    const user = cluster.imageUsers.get(name);
+    if (user && cached.fetchingSince === null) most = Math.max(most, machineShare(user, m.type));
+  }
+  return most;
+}
+
 function couldHost(job: Job, type: MachineType, zone: ZoneName): boolean {
   const { spec } = job;
   return (
@@ -170,7 +180,12 @@
   }
   const planner = new Planner(
     { average: tuning.weight_average, maximum: tuning.weight_maximum, idle: tuning.weight_idle },
-    { gpuS: tuning.gpu_reluctance_s, ordinaryS: tuning.ordinary_reluctance_s },
+    {
+      gpuS: tuning.gpu_reluctance_s,
+      ordinaryS: tuning.ordinary_reluctance_s,
+      warmS: tuning.warm_reluctance_s,
+      doubt: tuning.future_doubt,
+    },
   );
   const search = new Evolution(planner, xoroshiro128plus(seed), {
     individuals: tuning.individuals,
@@ -202,6 +217,9 @@
     zoneRoom = new Map(zones.map((z) => [z, Math.max(0, job.zoneLimit - (counts.get(z) ?? 0))]));
   }
   const avoid = new Set<number>();
+  machines.forEach((m, i) => {
+    if (m.reserved && m.reserved.job !== job.id && m.reserved.until > cluster.ctx.now.steady) avoid.add(i);
+  });
   if (job.failedOn.size > 0 && job.failedOn.size < 3) {
     machines.forEach((m, i) => {
       if (job.failedOn.has(m.id)) avoid.add(i);
@@ -229,15 +247,17 @@
 }
 
 /** Whether one more task of the job may go to this machine, by its job's wishes and the room really free. */
-export function mayHost(cluster: Cluster, job: Job, m: Machine): boolean {
+export function mayHost(cluster: Cluster, job: Job, m: Machine, instead = false): boolean {
   const { spec } = job;
   if (
     !m.usable(cluster.ctx.now.steady, cluster.ctx.settings.workers.reportMs) ||
     !m.fits(spec) ||
-    cluster.quotas.room(spec) < 1
+    (!instead && cluster.quotas.room(spec) < 1)
   )
     return false;
   if (!couldHost(job, m.type, m.zone) || (m.spot && !spec.spotOk)) return false;
+  // `instead`: asked for a place that it would take once it has left all of its present ones.
+  if (instead) return true;
   if (spec.sameZone) for (const p of job.placements.values()) if (p.machine.zone !== m.zone) return false;
   return !spec.spread || (job.zoneCounts().get(m.zone) ?? 0) < job.zoneLimit;
 }
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -56,6 +56,8 @@
     readonly weight_idle: number;
     readonly gpu_reluctance_s: number;
     readonly ordinary_reluctance_s: number;
+    readonly warm_reluctance_s: number;
+    readonly future_doubt: number;
     readonly overdue_share: number;
     readonly urgency: number;
     readonly urgency_horizon_s: number;
