Slow machines replaced, spare machines closed, rentals only in a job's own zone

Where more than a machine of a type is to spare, the emptiest ordinary one gets no new work and goes when empty.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,4 +1,5 @@
 import type { Job, Placement } from './jobs.js';
+import { Slowness } from './slowness.js';
 import type {
   Attempt,
   ImageName,
@@ -55,10 +56,13 @@
   /** Out of use for a reason: no new work, and returned once empty. */
   draining: string | null = null;
   errorStreak = 0;
+  readonly slowness = new Slowness();
   suspectUntil = 0 as Steady;
   idleSince: Steady;
   /** A deletion is under way; and: one was asked for, whose outcome may be unknown. */
   deleting = false;
+  /** More of its kind are there than are needed: it gets work only if that would wait long elsewhere. */
+  closing = false;
   returning = false;
   lastListedAt: Steady | null = null;
   directInFlight = false;
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -49,6 +49,8 @@
   notBefore = 0 as Steady;
   failures = 0;
   readonly failedOn = new Set<string>();
+  /** Machines on which a task of it took far longer than expected. */
+  readonly longOn = new Set<string>();
   /** How often it was moved to machines that hold its image. */
   moves = 0;
   private scan = 0;
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -21,6 +21,7 @@
 import { applyReport, compileCommands } from './reports.js';
 import { moveToCached } from './scheduler/moves.js';
 import { scheduleRound } from './scheduler/round.js';
+import { type Evidence, SLOW_FACTOR } from './slowness.js';
 import {
   type JobId,
   type MachineId,
@@ -72,6 +73,11 @@
   fetchSpeed: m.fetchSpeed,
 });
 
+/** Why a machine is out of use. */
+const SLOW = 'slow';
+/** One suspicion at a time: if everything seems slow, it isn't the machines. */
+const SLOW_PAUSE_MS = 30_000;
+
 /** Everything the holder of the lead does. A new one is made for every term. */
 export class Leader {
   readonly cluster: Cluster;
@@ -87,6 +93,7 @@
   private readonly newMachines = new Set<Machine>();
   private readonly dropMachines = new Set<MachineId>();
   private writesInFlight = 0;
+  private nextSlowAt = 0 as Steady;
 
   constructor(
     private readonly ctx: Context,
@@ -469,11 +476,41 @@
       this.cluster.countUnaccounted();
       this.soonRound();
     }
+    this.findSlow(now);
     this.watchNotices(now);
     this.scaler.tend(this.since);
     this.flush();
   }
 
+  /** A machine that takes several times as long for everything is replaced, one at a time. */
+  private findSlow(now: Steady): void {
+    if (now < this.nextSlowAt) return;
+    for (const m of this.cluster.machines.values()) {
+      if (m.phase !== 'up' || m.draining !== null || m.deleting) continue;
+      if (!m.slowness.isSlow(this.overdue(m, now))) continue;
+      m.draining = SLOW;
+      this.nextSlowAt = steadyPlus(now, SLOW_PAUSE_MS);
+      this.ctx.log('info', 'machine is much slower than others: taking it out of use', { machine: m.id });
+      this.soonRound();
+      return;
+    }
+  }
+
+  /** What runs on a machine and has already taken longer than expected. */
+  private overdue(m: Machine, now: Steady): Map<JobId, Evidence> {
+    const found = new Map<JobId, Evidence>();
+    for (const { job, phase, runningSince } of m.placements.values()) {
+      if (phase !== 'running' || runningSince === null) continue;
+      if ((job.spec.shape === 'gang' && job.spec.tasks > 1) || job.longOn.size >= 2) continue;
+      const surprise = Math.log((now - runningSince) / 1000 / this.cluster.estimates.expectS(job.spec));
+      if (surprise > (found.get(job.id)?.surprise ?? 0)) {
+        found.set(job.id, { surprise, spread: this.cluster.estimates.spread(job.spec) });
+        if (surprise > SLOW_FACTOR) job.longOn.add(m.id);
+      }
+    }
+    return found;
+  }
+
   /** Work on a machine about to be taken is saved where that helps; what would end in time is left alone. */
   private watchNotices(now: Steady): void {
     for (const m of this.cluster.machines.values()) {
@@ -487,7 +524,7 @@
         const leftS = m.noticeUntil === null ? 20 : (m.noticeUntil - now) / 1000;
         const expected = this.cluster.estimates.expectS(p.job.spec);
         const remaining = p.runningSince === null ? expected + 5 : expected - (now - p.runningSince) / 1000;
-        if (p.phase === 'running' && remaining < leftS * 0.6) continue;
+        if (p.phase === 'running' && remaining < leftS * 0.6 && m.draining !== SLOW) continue;
         this.cluster.stopSaving(p);
       }
     }
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -1,6 +1,7 @@
 import type { Cluster } from './cluster.js';
 import { type Machine, taskKey } from './fleet.js';
 import type { Job } from './jobs.js';
+import { type Evidence, SLOW_FACTOR } from './slowness.js';
 import { type Command, type Steady, steadyPlus, type TaskReport, type Token, type WorkerReport } from './types.js';
 
 const COMMANDS_MAX = 400;
@@ -94,7 +95,10 @@
     job.markDone(t.index);
     m.errorStreak = 0;
     if (mine && p.runningSince !== null && job.failures === 0) {
-      cluster.estimates.observe(job.spec, (ctx.now.steady - p.runningSince) / 1000);
+      const spread = cluster.estimates.spread(job.spec);
+      const surprise = cluster.estimates.observe(job.spec, (ctx.now.steady - p.runningSince) / 1000);
+      // A gang is as slow as its slowest machine: only a gang of one says which that is.
+      if (job.spec.shape === 'array' || job.spec.tasks === 1) noteSpeed(m, job, { surprise, spread });
     }
     ctx.timers.set('flush', ctx.now.steady);
   }
@@ -104,6 +108,12 @@
   return true;
 }
 
+/** A job that runs long on several machines was estimated wrongly, and is no evidence against any of them. */
+function noteSpeed(m: Machine, job: Job, e: Evidence): void {
+  if (e.surprise > SLOW_FACTOR) job.longOn.add(m.id);
+  if (job.longOn.size < 2) m.slowness.note(job.id, e);
+}
+
 function noteFailure(cluster: Cluster, m: Machine, job: Job, t: TaskReport, ran: boolean): void {
   const { ctx } = cluster;
   const now = ctx.now.steady;
--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -12,6 +12,8 @@
   gpus: number[];
   mem: number[];
   fetchS(image: ImageName, gb: number): number;
+  /** To be returned when empty. */
+  readonly closing: boolean;
   /** Largest share of a machine that a job needs whose image it holds. */
   readonly warmShare: number;
 }
@@ -30,6 +32,8 @@
   readonly zoneRoom: ReadonlyMap<ZoneName, number> | null;
   /** Zones that may host it. */
   readonly zones: readonly ZoneName[];
+  /** The only zone it may ever use; null: any. */
+  readonly boundTo: ZoneName | null;
   readonly weight: number;
   readonly waitedS: number;
   /** Machines it had better not use. */
@@ -62,6 +66,8 @@
   readonly ordinaryS: number;
   /** For a machine that holds images of larger jobs: those would have to fetch elsewhere. */
   readonly warmS: number;
+  /** For a machine that is to be returned when empty. */
+  readonly closingS: number;
   /** Room in the future counts this much more than its time: what is expected to end often doesn't. */
   readonly doubt: number;
 }
@@ -188,7 +194,7 @@
 
   constructor(
     private readonly weights: Weights,
-    private readonly reluctance: Reluctance = { gpuS: 0, ordinaryS: 0, warmS: 0, doubt: 0 },
+    private readonly reluctance: Reluctance = { gpuS: 0, ordinaryS: 0, warmS: 0, closingS: 0, doubt: 0 },
   ) {}
 
   plan(base: readonly PlanMachine[], jobs: readonly PlanJob[], genes: readonly ZoneName[]): Plan {
@@ -237,8 +243,8 @@
   }
 
   private reluctanceS(job: PlanJob, m: PlanMachine): number {
-    const { gpuS, ordinaryS, warmS } = this.reluctance;
-    let s = 0;
+    const { gpuS, ordinaryS, warmS, closingS } = this.reluctance;
+    let s = m.closing ? closingS : 0;
     if (job.gpus === 0 && m.type.gpus > 0) s += gpuS;
     if (job.spotOk && !m.spot) s += ordinaryS;
     if (m.warmShare > machineShare(job, m.type) + 0.01) s += warmS;
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -72,6 +72,7 @@
     gpus,
     mem,
     fetchS: (image, gb) => m.fetchSeconds(image, gb, now),
+    closing: m.closing,
     warmShare: warmShare(cluster, m),
   };
 }
@@ -184,6 +185,7 @@
       gpuS: tuning.gpu_reluctance_s,
       ordinaryS: tuning.ordinary_reluctance_s,
       warmS: tuning.warm_reluctance_s,
+      closingS: tuning.closing_reluctance_s,
       doubt: tuning.future_doubt,
     },
   );
@@ -240,6 +242,7 @@
     sameZone: spec.sameZone,
     zoneRoom,
     zones,
+    boundTo: spec.zone ?? (spec.sameZone && job.placements.size > 0 ? (zones[0] as ZoneName) : null),
     weight: userWeight(spec.rank),
     waitedS,
     avoid: avoid.size > 0 ? avoid : null,
@@ -309,6 +312,7 @@
 
 function begin(cluster: Cluster, job: Job, index: number, machine: Machine, attempt: Placement['attempt']): void {
   cluster.place(job, index, machine, attempt, 'planned');
+  machine.closing = false;
   if (job.startTerm === 0) {
     job.startTerm = cluster.term;
     job.startZone = machine.zone;
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -7,7 +7,8 @@
 import { Evolution } from '../src/core/scheduler/evolution.js';
 import { type PlanJob, type PlanMachine, Planner } from '../src/core/scheduler/planner.js';
 import { rankValue } from '../src/core/scheduler/priority.js';
-import type { ImageName, MachineType, Steady, TypeName, ZoneName } from '../src/core/types.js';
+import { type Evidence, Slowness } from '../src/core/slowness.js';
+import type { ImageName, JobId, MachineType, Steady, TypeName, ZoneName } from '../src/core/types.js';
 import { makeSpec } from './sim/scenario.js';
 
 test('range sets: any order of additions gives the same few ranges', () => {
@@ -65,6 +66,24 @@
   assert.ok(Math.abs(e.expectS(spec) - 40) < 5);
 });
 
+test('slowness: a slow machine is told from a wrong estimate by several jobs, weighed by how sure they are', () => {
+  const job = (n: number): JobId => `job-${n}` as JobId;
+  const none = new Map<JobId, Evidence>();
+  const sure = new Slowness();
+  sure.note(job(1), { surprise: Math.log(4), spread: 0.2 });
+  assert.ok(!sure.isSlow(none));
+  sure.note(job(2), { surprise: Math.log(4), spread: 0.2 });
+  assert.ok(sure.isSlow(none));
+  const unsure = new Slowness();
+  for (let i = 0; i < 2; i++) unsure.note(job(i), { surprise: Math.log(4), spread: 0.8 });
+  assert.ok(!unsure.isSlow(none));
+  for (let i = 0; i < 6; i++) unsure.note(job(i), { surprise: Math.log(4), spread: 0.8 });
+  assert.ok(unsure.isSlow(none));
+  const usual = new Slowness();
+  for (let i = 0; i < 50; i++) usual.note(job(i), { surprise: i % 2 === 0 ? 0.3 : -0.3, spread: 0.2 });
+  assert.ok(!usual.isSlow(new Map([[job(99), { surprise: Math.log(3), spread: 0.5 }]])));
+});
+
 test('ranking: small and short first, and waiting makes up for size', () => {
   const small = makeSpec('job-1', 'array', { cpus: '1', estimate: '10' });
   const large = makeSpec('job-2', 'gang', { gpus: '4', estimate: '100' });
@@ -96,6 +115,7 @@
     gpus: freeCpus < t.cpus ? [t.gpus, t.gpus] : [t.gpus],
     mem: freeCpus < t.cpus ? [64, 64] : [64],
     fetchS: () => fetchS,
+    closing: false,
     warmShare: 0,
   };
 }
@@ -116,6 +136,7 @@
     sameZone: false,
     zoneRoom: null,
     zones: ['a' as ZoneName],
+    boundTo: null,
     weight: 1,
     waitedS: 0,
     avoid: null,
