Need is judged over all zones; spot losses weigh on starts there

Need now comes from a plan over all zones. Starts on spot machines count later by what losses, as seen lately, would cost.

--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -40,6 +40,7 @@
   private lastListAt = 0 as Steady;
   private listedOnce = false;
   private lastWorkAt: Steady;
+  private spotsSeenAt: Steady;
   private readonly spareSince = new Map<TypeName, Steady>();
 
   constructor(
@@ -48,6 +49,7 @@
     private readonly dropRecord: (id: MachineId) => void,
   ) {
     this.lastWorkAt = cluster.ctx.now.steady;
+    this.spotsSeenAt = cluster.ctx.now.steady;
   }
 
   private get now(): Steady {
@@ -111,6 +113,7 @@
     if (m.deleting) return;
     m.deleting = true;
     m.returning = true;
+    if (why === 'silent' || why === 'failed') this.countLost(m);
     m.draining ??= why;
     this.cluster.ctx.log('info', 'returning machine', { machine: m.id, type: m.typeName, why });
     this.sendDelete(m);
@@ -134,6 +137,7 @@
     const { tuning, settings } = this.cluster.ctx;
     const now = this.now;
     if (!this.listing && now - this.lastListAt > 4000) this.list();
+    this.watchSpot();
     let heard = 0;
     let up = 0;
     for (const m of this.cluster.machines.values()) {
@@ -219,6 +223,24 @@
     return short.gpus < -m.type.gpus + 0.5 && short.cpus < -m.type.cpus + 0.5;
   }
 
+  private countLost(m: Machine): void {
+    if (!m.spot || m.countedLost) return;
+    m.countedLost = true;
+    this.cluster.hazard.lost();
+  }
+
+  private watchSpot(): void {
+    let spots = 0;
+    for (const m of this.cluster.machines.values()) {
+      if (!m.spot || m.phase !== 'up') continue;
+      spots += 1;
+      if (m.noticeUntil !== null) this.countLost(m);
+    }
+    const seconds = Math.min(5, (this.now - this.spotsSeenAt) / 1000);
+    this.spotsSeenAt = this.now;
+    this.cluster.hazard.pass(spots, seconds);
+  }
+
   private surplus(m: Machine): boolean {
     const { tuning } = this.cluster.ctx;
     const idleS = (this.now - Math.max(m.idleSince, m.firstHeardAt ?? m.idleSince)) / 1000;
@@ -286,7 +308,7 @@
     const add = (slot: number, n: number): void => {
       late.set(slot, (late.get(slot) ?? 0) + n);
     };
-    for (const s of round.plan.starts) {
+    for (const s of round.capacity.starts) {
       const job = round.planJobs[s.job] as PlanJob;
       let soonest = Number.POSITIVE_INFINITY;
       for (const t of this.cluster.types.values()) {
@@ -295,11 +317,11 @@
       }
       if (s.startAtS > soonest + margin) add(s.job, s.tasks);
     }
-    for (const [slot, n] of round.plan.unplaced) add(slot, n);
+    for (const [slot, n] of round.capacity.unplaced) add(slot, n);
     return [...late].map(([slot, tasks]) => ({
       job: round.planJobs[slot] as PlanJob,
       tasks,
-      unplaced: (round.plan.unplaced.get(slot) ?? 0) > 0,
+      unplaced: (round.capacity.unplaced.get(slot) ?? 0) > 0,
     }));
   }
 
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -1,6 +1,7 @@
 import type { Context } from './context.js';
 import { Estimates } from './estimates.js';
 import { type Machine, taskKey } from './fleet.js';
+import { SpotHazard } from './hazard.js';
 import { Job, type Placement, type PlacementPhase } from './jobs.js';
 import { Quotas } from './quotas.js';
 import type { JobRecord } from './records.js';
@@ -16,6 +17,7 @@
   readonly gone = new Set<MachineId>();
   readonly quotas: Quotas;
   readonly estimates = new Estimates();
+  readonly hazard = new SpotHazard();
   /** The largest tasks seen that use an image. */
   readonly imageUsers = new Map<ImageName, Resources>();
   types: ReadonlyMap<TypeName, MachineType> = new Map();
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -64,6 +64,7 @@
   /** More of its kind are there than are needed: it gets work only if that would wait long elsewhere. */
   closing = false;
   returning = false;
+  countedLost = false;
   lastListedAt: Steady | null = null;
   directInFlight = false;
   /** Kept for a moment for a job that is on its way here. */
--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -27,6 +27,8 @@
   readonly imageGb: number;
   readonly types: readonly TypeName[] | null;
   readonly spotOk: boolean;
+  /** What a start on a spot machine is expected to cost through losses, in seconds. */
+  readonly spotDelayS: number;
   readonly sameZone: boolean;
   /** Most tasks that each zone may still take; null: no such limit. */
   readonly zoneRoom: ReadonlyMap<ZoneName, number> | null;
@@ -197,7 +199,8 @@
     private readonly reluctance: Reluctance = { gpuS: 0, ordinaryS: 0, warmS: 0, closingS: 0, doubt: 0 },
   ) {}
 
-  plan(base: readonly PlanMachine[], jobs: readonly PlanJob[], genes: readonly ZoneName[]): Plan {
+  /** `genes`: a zone for each job; null plans arrays over all of their zones at once. */
+  plan(base: readonly PlanMachine[], jobs: readonly PlanJob[], genes: readonly ZoneName[] | null): Plan {
     const machines = base.map(cloneMachine);
     const starts: PlannedStart[] = [];
     const unplaced = new Map<number, number>();
@@ -206,7 +209,8 @@
     let worst = 0;
     for (let i = 0; i < jobs.length; i++) {
       const job = jobs[i] as PlanJob;
-      const wait = this.planJob(machines, job, genes[i] as ZoneName, starts, unplaced);
+      const zone = genes ? (genes[i] as ZoneName) : null;
+      const wait = this.planJob(machines, job, zone, starts, unplaced);
       const weighted = job.weight * (job.waitedS + wait);
       sum += weighted;
       if (weighted > worst) worst = weighted;
@@ -221,10 +225,16 @@
   private planJob(
     machines: readonly PlanMachine[],
     job: PlanJob,
-    zone: ZoneName,
+    gene: ZoneName | null,
     starts: PlannedStart[],
     unplaced: Map<number, number>,
   ): number {
+    if (gene === null && !job.zoneRoom && !(job.gang && job.sameZone)) {
+      return job.gang
+        ? this.planGang(machines, job, job.zones[0] as ZoneName, starts, unplaced)
+        : this.planArray(machines, job, job.zones, job.tasks, starts, unplaced);
+    }
+    const zone = gene ?? this.roomiest(machines, job);
     if (job.gang) return this.planGang(machines, job, zone, starts, unplaced);
     if (!job.zoneRoom) return this.planArray(machines, job, [zone], job.tasks, starts, unplaced);
     // A spread job needs several zones: the gene names the first, the others follow within the limit.
@@ -242,11 +252,24 @@
     return (total + left * UNPLACED_S) / Math.max(1, job.tasks);
   }
 
+  /** The zone whose machines the job fits have most room now. */
+  private roomiest(machines: readonly PlanMachine[], job: PlanJob): ZoneName {
+    const room = new Map<ZoneName, number>();
+    for (const m of machines) {
+      if (!eligible(job, m)) continue;
+      room.set(m.zone, (room.get(m.zone) ?? 0) + fitCount(m, 0, job.durationS, job) - at(m.times, 0) * 1e-3);
+    }
+    let best = job.zones[0] as ZoneName;
+    for (const z of job.zones) if ((room.get(z) ?? 0) > (room.get(best) ?? 0)) best = z;
+    return best;
+  }
+
   private reluctanceS(job: PlanJob, m: PlanMachine): number {
     const { gpuS, ordinaryS, warmS, closingS } = this.reluctance;
     let s = m.closing ? closingS : 0;
     if (job.gpus === 0 && m.type.gpus > 0) s += gpuS;
     if (job.spotOk && !m.spot) s += ordinaryS;
+    if (m.spot) s += job.spotDelayS;
     if (m.warmShare > machineShare(job, m.type) + 0.01) s += warmS;
     return s;
   }
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -1,6 +1,7 @@
 import { xoroshiro128plus } from 'pure-rand';
 import type { Cluster } from '../cluster.js';
 import type { Machine } from '../fleet.js';
+import { spotDelayS } from '../hazard.js';
 import type { Job, Placement } from '../jobs.js';
 import type { MachineType, Steady, ZoneName } from '../types.js';
 import { Evolution } from './evolution.js';
@@ -9,7 +10,11 @@
 
 /** What a round found out, for the autoscaler. */
 export interface RoundResult {
-  readonly plan: Plan;
+  /**
+   * What could start when if arrays weren't held to one zone a round: what is late here lacks machines, not a better zone
+   * in the next round.
+   */
+  readonly capacity: Plan;
   readonly jobs: readonly Job[];
   readonly planJobs: readonly PlanJob[];
   readonly machines: readonly Machine[];
@@ -195,12 +200,12 @@
     mutation: tuning.mutation,
     planSteps: tuning.plan_steps,
   });
-  const plan: Plan =
-    planJobs.length > 0
-      ? search.search(planMachines, planJobs)
-      : { starts: [], cost: 0, unplaced: new Map(), steps: 0 };
+  const none: Plan = { starts: [], cost: 0, unplaced: new Map(), steps: 0 };
+  const plan = planJobs.length > 0 ? search.search(planMachines, planJobs) : none;
+  const oneZone = planJobs.every((j) => j.zones.length === 1);
+  const capacity = oneZone ? plan : planner.plan(planMachines, planJobs, null);
   const started = apply(cluster, plan, jobs, machines);
-  return { plan, jobs, planJobs, machines, started };
+  return { capacity, jobs, planJobs, machines, started };
 }
 
 function planJob(
@@ -213,6 +218,7 @@
   machines: readonly Machine[],
 ): PlanJob {
   const { spec } = job;
+  const runS = cluster.estimates.expectS(spec);
   let zoneRoom: Map<ZoneName, number> | null = null;
   if (spec.spread) {
     const counts = job.zoneCounts();
@@ -231,7 +237,7 @@
     slot,
     gang: spec.shape === 'gang',
     tasks,
-    durationS: cluster.estimates.expectS(spec),
+    durationS: runS,
     cpus: spec.cpus,
     gpus: spec.gpus,
     memGb: spec.memGb,
@@ -239,6 +245,7 @@
     imageGb: spec.imageGb,
     types: spec.types,
     spotOk: spec.spotOk,
+    spotDelayS: spotDelayS(cluster.hazard.perS, runS, spec.checkpointS),
     sameZone: spec.sameZone,
     zoneRoom,
     zones,
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -3,6 +3,7 @@
 import { xoroshiro128plus } from 'pure-rand';
 import { CallQueue, TokenBucket } from '../src/core/buckets.js';
 import { Estimates } from '../src/core/estimates.js';
+import { SpotHazard, spotDelayS } from '../src/core/hazard.js';
 import { RangeSet } from '../src/core/ranges.js';
 import { Evolution } from '../src/core/scheduler/evolution.js';
 import { type PlanJob, type PlanMachine, Planner } from '../src/core/scheduler/planner.js';
@@ -84,6 +85,18 @@
   assert.ok(!usual.isSlow(new Map([[job(99), { surprise: Math.log(3), spread: 0.5 }]])));
 });
 
+test('spot losses: long work without checkpoints is the dearer to start there the more machines are lost', () => {
+  const hazard = new SpotHazard();
+  hazard.pass(4, 60);
+  const calm = hazard.perS;
+  for (let i = 0; i < 3; i++) hazard.lost();
+  assert.ok(hazard.perS > 5 * calm);
+  assert.ok(spotDelayS(hazard.perS, 100, 0) > spotDelayS(hazard.perS, 100, 10));
+  assert.ok(spotDelayS(hazard.perS, 100, 0) > 4 * spotDelayS(hazard.perS, 30, 0));
+  for (let i = 0; i < 100; i++) hazard.pass(4, 10);
+  assert.ok(hazard.perS < 2 * calm);
+});
+
 test('ranking: small and short first, and waiting makes up for size', () => {
   const small = makeSpec('job-1', 'array', { cpus: '1', estimate: '10' });
   const large = makeSpec('job-2', 'gang', { gpus: '4', estimate: '100' });
@@ -133,6 +146,7 @@
     imageGb: 1,
     types: null,
     spotOk: true,
+    spotDelayS: 0,
     sameZone: false,
     zoneRoom: null,
     zones: ['a' as ZoneName],
