--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -182,7 +182,7 @@
       const open: { m: Machine; used: number }[] = [];
       let used = 0;
       for (const m of this.cluster.machines.values()) {
-        if (m.type !== type || m.draining !== null || m.deleting || m.noticeUntil !== null) continue;
+        if (m.typeName !== type.name || m.draining !== null || m.deleting || m.noticeUntil !== null) continue;
         let share = 0;
         for (const p of m.placements.values()) if (native(p.job.spec)) share += machineShare(p.job.spec, type);
         used += share;
@@ -298,7 +298,7 @@
 
   private beingRented(kind: Kind): number {
     let n = 0;
-    for (const r of this.rentals.values()) if (r.kind.type === kind.type) n += r.count;
+    for (const r of this.rentals.values()) if (r.kind.type.name === kind.type.name) n += r.count;
     return n;
   }
 
@@ -358,8 +358,8 @@
 
   private countIn(zone: ZoneName, type: MachineType): number {
     let n = 0;
-    for (const m of this.cluster.machines.values()) if (m.zone === zone && m.type === type) n += 1;
-    for (const r of this.rentals.values()) if (r.kind.zone === zone && r.kind.type === type) n += r.count;
+    for (const m of this.cluster.machines.values()) if (m.zone === zone && m.typeName === type.name) n += 1;
+    for (const r of this.rentals.values()) if (r.kind.zone === zone && r.kind.type.name === type.name) n += r.count;
     return n;
   }
 
@@ -391,7 +391,7 @@
    * worth of it, a spot machine is asked for. New work then prefers it, and ordinary machines fall idle and go.
    */
   private moveToSpot(): void {
-    const dear = new Map<MachineType, number>();
+    const dear = new Map<TypeName, number>();
     for (const m of this.cluster.machines.values()) {
       if (m.spot || m.phase !== 'up') continue;
       let share = 0;
@@ -399,12 +399,14 @@
         const { spec } = p.job;
         if (spec.spotOk) share += Math.max(spec.gpus / Math.max(1, m.type.gpus), spec.cpus / m.type.cpus);
       }
-      dear.set(m.type, (dear.get(m.type) ?? 0) + share);
+      dear.set(m.typeName, (dear.get(m.typeName) ?? 0) + share);
     }
-    for (const [type, share] of dear) {
-      if (share < 0.7 || type.spotPrice > 0.6 * type.price) continue;
-      if ([...this.rentals.values()].some((r) => r.kind.type === type && r.kind.spot)) continue;
-      if ([...this.cluster.machines.values()].some((m) => m.type === type && m.spot && m.phase === 'booting')) continue;
+    for (const [name, share] of dear) {
+      const type = this.cluster.types.get(name);
+      if (!type || share < 0.7 || type.spotPrice > 0.6 * type.price) continue;
+      if ([...this.rentals.values()].some((r) => r.kind.type.name === name && r.kind.spot)) continue;
+      if ([...this.cluster.machines.values()].some((m) => m.typeName === name && m.spot && m.phase === 'booting'))
+        continue;
       const zone = type.zones.find((z) => !this.refused(type, z, true));
       if (zone) this.rent({ type, zone, spot: true }, 1);
     }
--- a/test/sim/cloud.ts
+++ b/test/sim/cloud.ts
@@ -88,7 +88,7 @@
     if (this.down) return { ok: false, why: 'refused' };
     switch (op.op) {
       case 'types':
-        return { ok: true, value: { types: this.types } };
+        return { ok: true, value: { types: this.types.map((t) => ({ ...t })) } };
       case 'list': {
         const lag = this.clock.between(0.2, 2) * this.listLagMs;
         let list: ListedMachine[] = [];
--- a/test/sim/scenario.ts
+++ b/test/sim/scenario.ts
@@ -19,6 +19,7 @@
  *   seed N | nodes N | zones a b | capacity N | machines N TYPE ZONE [spot]
  *   team NAME key=value ...
  *   at S EVENT ...        (see `events` below)
+ *   every FROM TO STEP EVENT ...   (the time is added to the first word, a job's id)
  *   until S
  *   expect CHECK ...      (see `checks` below; "rules kept" is always checked)
  */
@@ -151,6 +152,14 @@
     if (!event) throw new Error(`line ${n}: no event ${words[2]}`);
     world.clock.in(Number(words[1]) * 1000, () => event(world, words.slice(3)));
   }
+  for (const { n, words } of s.lines.filter((l) => l.words[0] === 'every')) {
+    const [from, to, step] = words.slice(1, 4).map(Number) as [number, number, number];
+    const event = events[words[4] ?? ''];
+    if (!event) throw new Error(`line ${n}: no event ${words[4]}`);
+    for (let at = from; at <= to; at += step) {
+      world.clock.in(at * 1000, () => event(world, [`${words[5]}${at}`, ...words.slice(6)]));
+    }
+  }
   world.clock.runUntil(Number(value('until') ?? 60) * 1000);
   failures.push(...world.rules.broken);
   for (const { n, words } of s.lines.filter((l) => l.words[0] === 'expect')) {
@@ -289,6 +298,15 @@
   rented(world, [, n]) {
     return world.cloud.rentals <= Number(n) ? null : `${world.cloud.rentals} machines rented, more than ${n}`;
   },
+  /** expect logged WORDS: some node logged a line that holds them */
+  logged(world, words) {
+    const text = words.join(' ');
+    return world.logged.some((l) => l.includes(text)) ? null : `nobody logged "${text}"`;
+  },
+  /** expect machines at-most N: rented at the end */
+  machines(world, [, n]) {
+    return world.cloud.machines.size <= Number(n) ? null : `${world.cloud.machines.size} machines, more than ${n}`;
+  },
   empty(world) {
     const left = [...world.rules.on.values()].reduce((sum, tasks) => sum + tasks.size, 0);
     return left === 0 ? null : `${left} tasks still on machines`;
