--- a/src/config/tuning.ts
+++ b/src/config/tuning.ts
@@ -25,7 +25,6 @@
     gpu_reluctance_s: notNegative,
     ordinary_reluctance_s: notNegative,
     warm_reluctance_s: notNegative,
-    closing_reluctance_s: notNegative,
     future_doubt: within(0, 10),
     overdue_share: within(0, 10),
     urgency: notNegative,
--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -1,12 +1,11 @@
 import type { Cluster } from './cluster.js';
 import { Machine } from './fleet.js';
-import { machineShare, type PlanJob } from './scheduler/planner.js';
+import type { PlanJob } from './scheduler/planner.js';
 import type { RoundResult } from './scheduler/round.js';
 import {
   type ListedMachine,
   type MachineId,
   type MachineType,
-  type Resources,
   type Steady,
   steadyPlus,
   type TypeName,
@@ -28,8 +27,6 @@
 
 const kindKey = (type: TypeName, zone: ZoneName, spot: boolean): string => `${type}|${zone}|${spot}`;
 const RENT_AT_ONCE = 8;
-/** Part of a type's machines that may be to spare before one is closed. */
-const SPARE_SHARE = 0.1;
 
 /** Rents for planned need, returns what stands idle, and keeps the list of machines true. */
 export class Autoscaler {
@@ -41,7 +38,6 @@
   private listedOnce = false;
   private lastWorkAt: Steady;
   private spotsSeenAt: Steady;
-  private readonly spareSince = new Map<TypeName, Steady>();
 
   constructor(
     private readonly cluster: Cluster,
@@ -146,7 +142,6 @@
       if (now - m.lastHeardAt < 2.5 * settings.workers.reportMs) heard += 1;
     }
     // If most workers are silent, it is we who are cut off.
-    this.shrink();
     const hearing = heard * 2 >= up && now - leaderSince > 3 * settings.workers.reportMs;
     for (const m of [...this.cluster.machines.values()]) {
       if (m.deleting) continue;
@@ -172,52 +167,6 @@
     }
   }
 
-  /**
-   * Idle machines alone don't bring the number down: a few small tasks on each keep them all. Where more than a machine of
-   * a type is to spare for a while, the emptiest ordinary one is closed to new work, and returned when it falls empty.
-   */
-  private shrink(): void {
-    for (const type of this.cluster.types.values()) {
-      const native = (r: Resources): boolean => r.gpus > 0 || type.gpus === 0;
-      const open: { m: Machine; used: number }[] = [];
-      let used = 0;
-      for (const m of this.cluster.machines.values()) {
-        if (m.typeName !== type.name || m.draining !== null || m.deleting || m.noticeUntil !== null) continue;
-        let share = 0;
-        for (const p of m.placements.values()) if (native(p.job.spec)) share += machineShare(p.job.spec, type);
-        used += share;
-        if (m.phase === 'up' && !m.closing) open.push({ m, used: share });
-      }
-      const spare = open.length - used - this.waitingShare(type, native);
-      if (open.length < 2 || spare < 1.2 + SPARE_SHARE * open.length) {
-        this.spareSince.delete(type.name);
-        continue;
-      }
-      const since = this.spareSince.get(type.name) ?? this.now;
-      this.spareSince.set(type.name, since);
-      if ((this.now - since) / 1000 < this.cluster.ctx.tuning.machines.idle_return_s) continue;
-      const victim = open.filter((o) => !o.m.spot).sort((a, b) => a.used - b.used)[0]?.m;
-      if (!victim || !this.beyondGuarantees(victim)) continue;
-      victim.closing = true;
-      // The next one not before the effect of this one shows.
-      this.spareSince.set(type.name, this.now);
-      this.cluster.ctx.log('info', 'closing a machine: more are there than are needed', { machine: victim.id });
-    }
-  }
-
-  /** Waiting work of the type, in machines. */
-  private waitingShare(type: MachineType, native: (r: Resources) => boolean): number {
-    let share = 0;
-    for (const job of this.cluster.active) {
-      const { spec } = job;
-      const n = job.waiting;
-      if (n <= 0 || !native(spec) || (spec.types !== null && !spec.types.includes(type.name))) continue;
-      const each = machineShare(spec, type);
-      if (each <= 1) share += n * each;
-    }
-    return share;
-  }
-
   private beyondGuarantees(m: Machine): boolean {
     const short = this.guaranteeShort();
     return short.gpus < -m.type.gpus + 0.5 && short.cpus < -m.type.cpus + 0.5;
@@ -246,7 +195,7 @@
     const idleS = (this.now - Math.max(m.idleSince, m.firstHeardAt ?? m.idleSince)) / 1000;
     // It has been charged for a minute whatever happens.
     if ((this.now - m.rentedAt) / 1000 < 55) return false;
-    return (m.closing || idleS >= tuning.machines.idle_return_s) && this.beyondGuarantees(m);
+    return idleS >= tuning.machines.idle_return_s && this.beyondGuarantees(m);
   }
 
   /** What the teams' guarantees ask for beyond what is there; negative: to spare. */
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -61,8 +61,6 @@
   idleSince: Steady;
   /** A deletion is under way; and: one was asked for, whose outcome may be unknown. */
   deleting = false;
-  /** More of its kind are there than are needed: it gets work only if that would wait long elsewhere. */
-  closing = false;
   returning = false;
   countedLost = false;
   lastListedAt: Steady | null = null;
--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -12,8 +12,6 @@
   gpus: number[];
   mem: number[];
   fetchS(image: ImageName, gb: number): number;
-  /** To be returned when empty. */
-  readonly closing: boolean;
   /** Largest share of a machine that a job needs whose image it holds. */
   readonly warmShare: number;
 }
@@ -68,8 +66,6 @@
   readonly ordinaryS: number;
   /** For a machine that holds images of larger jobs: those would have to fetch elsewhere. */
   readonly warmS: number;
-  /** For a machine that is to be returned when empty. */
-  readonly closingS: number;
   /** Room in the future counts this much more than its time: what is expected to end often doesn't. */
   readonly doubt: number;
 }
@@ -196,7 +192,7 @@
 
   constructor(
     private readonly weights: Weights,
-    private readonly reluctance: Reluctance = { gpuS: 0, ordinaryS: 0, warmS: 0, closingS: 0, doubt: 0 },
+    private readonly reluctance: Reluctance = { gpuS: 0, ordinaryS: 0, warmS: 0, doubt: 0 },
   ) {}
 
   /** `genes`: a zone for each job; null plans arrays over all of their zones at once. */
@@ -265,8 +261,8 @@
   }
 
   private reluctanceS(job: PlanJob, m: PlanMachine): number {
-    const { gpuS, ordinaryS, warmS, closingS } = this.reluctance;
-    let s = m.closing ? closingS : 0;
+    const { gpuS, ordinaryS, warmS } = this.reluctance;
+    let s = 0;
     if (job.gpus === 0 && m.type.gpus > 0) s += gpuS;
     if (job.spotOk && !m.spot) s += ordinaryS;
     if (m.spot) s += job.spotDelayS;
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -77,7 +77,6 @@
     gpus,
     mem,
     fetchS: (image, gb) => m.fetchSeconds(image, gb, now),
-    closing: m.closing,
     warmShare: warmShare(cluster, m),
   };
 }
@@ -190,7 +189,6 @@
       gpuS: tuning.gpu_reluctance_s,
       ordinaryS: tuning.ordinary_reluctance_s,
       warmS: tuning.warm_reluctance_s,
-      closingS: tuning.closing_reluctance_s,
       doubt: tuning.future_doubt,
     },
   );
@@ -319,7 +317,6 @@
 
 function begin(cluster: Cluster, job: Job, index: number, machine: Machine, attempt: Placement['attempt']): void {
   cluster.place(job, index, machine, attempt, 'planned');
-  machine.closing = false;
   if (job.startTerm === 0) {
     job.startTerm = cluster.term;
     job.startZone = machine.zone;
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -57,7 +57,6 @@
     readonly gpu_reluctance_s: number;
     readonly ordinary_reluctance_s: number;
     readonly warm_reluctance_s: number;
-    readonly closing_reluctance_s: number;
     readonly future_doubt: number;
     readonly overdue_share: number;
     readonly urgency: number;
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -128,7 +128,6 @@
     gpus: freeCpus < t.cpus ? [t.gpus, t.gpus] : [t.gpus],
     mem: freeCpus < t.cpus ? [64, 64] : [64],
     fetchS: () => fetchS,
-    closing: false,
     warmShare: 0,
   };
 }
--- a/test/sim/scenario.ts
+++ b/test/sim/scenario.ts
@@ -298,11 +298,6 @@
   rented(world, [, n]) {
     return world.cloud.rentals <= Number(n) ? null : `${world.cloud.rentals} machines rented, more than ${n}`;
   },
-  /** expect logged WORDS: some node logged a line that holds them */
-  logged(world, words) {
-    const text = words.join(' ');
-    return world.logged.some((l) => l.includes(text)) ? null : `nobody logged "${text}"`;
-  },
   /** expect machines at-most N: rented at the end */
   machines(world, [, n]) {
     return world.cloud.machines.size <= Number(n) ? null : `${world.cloud.machines.size} machines, more than ${n}`;
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -156,7 +156,6 @@
       }
       case 'log':
         if (world.verbose) console.error((world.clock.now / 1000).toFixed(2), this.name, o.level, o.text, o.fields);
-        if (o.level !== 'debug') world.logged.push(o.text);
         if (o.level === 'error') world.errors.push(`${o.text} ${JSON.stringify(o.fields)}`);
         break;
     }
@@ -197,7 +196,6 @@
   readonly workers = new Map<MachineId, Worker>();
   readonly faulty = new Set<JobId>();
   readonly errors: string[] = [];
-  readonly logged: string[] = [];
   readonly settings = { lease: LEASE_MS, report: REPORT_MS, gangWait: 40_000, gangPeer: 5000 };
   verbose = process.env.SIM_LOG === '1';
   private readonly jobs = new Map<JobId, UserJob>();
