Services run until cancelled; guarantees' machines are given back without work

The loopback check submits a service, which the protocol page doesn't define (docs/questions.md): accepted now, planned over the zones by best fit, outside the search. The same check found machines for guarantees kept for five minutes with nothing to do, and rented before any work: now only while there is work, or was within 30 s (scenario guarantee-without-work).

--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -27,6 +27,8 @@
 
 const kindKey = (type: TypeName, zone: ZoneName, spot: boolean): string => `${type}|${zone}|${spot}`;
 const RENT_AT_ONCE = 8;
+/** Capacity for guarantees is given back when there has been no work at all for so long. */
+const GUARANTEE_KEEP_MS = 30_000;
 
 /** Rents for planned need, returns what stands idle, and keeps the list of machines true. */
 export class Autoscaler {
@@ -44,7 +46,7 @@
     private readonly adopt: (m: Machine) => void,
     private readonly dropRecord: (id: MachineId) => void,
   ) {
-    this.lastWorkAt = cluster.ctx.now.steady;
+    this.lastWorkAt = steadyPlus(cluster.ctx.now.steady, -GUARANTEE_KEEP_MS);
     this.spotsSeenAt = cluster.ctx.now.steady;
   }
 
@@ -202,7 +204,7 @@
   private guaranteeShort(): { cpus: number; gpus: number } {
     let cpus = 0;
     let gpus = 0;
-    if (this.cluster.ctx.tuning.machines.keep_guarantees && this.now - this.lastWorkAt < 300_000) {
+    if (this.cluster.ctx.tuning.machines.keep_guarantees && this.now - this.lastWorkAt < GUARANTEE_KEEP_MS) {
       for (const t of this.cluster.quotas.all()) {
         cpus += t.cpus;
         gpus += t.gpus;
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -500,6 +500,8 @@
   private overdue(m: Machine, now: Steady): Map<JobId, Evidence> {
     const found = new Map<JobId, Evidence>();
     for (const { job, phase, runningSince } of m.placements.values()) {
+      // A service runs for as long as its user wants: that says nothing of its machine.
+      if (job.spec.shape === 'service') continue;
       if (phase !== 'running' || runningSince === null) continue;
       if ((job.spec.shape === 'gang' && job.spec.tasks > 1) || job.longOn.size >= 2) continue;
       const surprise = Math.log((now - runningSince) / 1000 / this.cluster.estimates.expectS(job.spec));
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -98,7 +98,7 @@
       const spread = cluster.estimates.spread(job.spec);
       const surprise = cluster.estimates.observe(job.spec, (ctx.now.steady - p.runningSince) / 1000);
       // A gang is as slow as its slowest machine: only a gang of one says which that is.
-      if (job.spec.shape === 'array' || job.spec.tasks === 1) noteSpeed(m, job, { surprise, spread });
+      if (job.spec.shape !== 'gang' || job.spec.tasks === 1) noteSpeed(m, job, { surprise, spread });
     }
     ctx.timers.set('flush', ctx.now.steady);
   }
@@ -163,7 +163,7 @@
     }
     p = cluster.place(job, t.index, m, t.attempt, t.phase as 'running');
     if (job.state === 'cancelled') cluster.stop(p, 0);
-    if (job.spec.shape === 'array' && job.isDone(t.index)) cluster.stop(p, 0);
+    if (job.spec.shape !== 'gang' && job.isDone(t.index)) cluster.stop(p, 0);
   }
   const fromStart = p.phase === 'sent';
   p.phase = t.phase as 'running';
--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -19,6 +19,8 @@
 export interface PlanJob extends Resources {
   readonly slot: number;
   readonly gang: boolean;
+  /** Planned over all of its zones by best fit, outside the search. */
+  readonly everywhere: boolean;
   readonly tasks: number;
   readonly durationS: number;
   readonly image: ImageName;
@@ -225,7 +227,7 @@
     starts: PlannedStart[],
     unplaced: Map<number, number>,
   ): number {
-    if (gene === null && !job.zoneRoom && !(job.gang && job.sameZone)) {
+    if ((gene === null || job.everywhere) && !job.zoneRoom && !(job.gang && job.sameZone)) {
       return job.gang
         ? this.planGang(machines, job, job.zones[0] as ZoneName, starts, unplaced)
         : this.planArray(machines, job, job.zones, job.tasks, starts, unplaced);
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -200,7 +200,7 @@
   });
   const none: Plan = { starts: [], cost: 0, unplaced: new Map(), steps: 0 };
   const plan = planJobs.length > 0 ? search.search(planMachines, planJobs) : none;
-  const oneZone = planJobs.every((j) => j.zones.length === 1);
+  const oneZone = planJobs.every((j) => j.zones.length === 1 || j.everywhere);
   const capacity = oneZone ? plan : planner.plan(planMachines, planJobs, null);
   const started = apply(cluster, plan, jobs, machines);
   return { capacity, jobs, planJobs, machines, started };
@@ -234,6 +234,7 @@
   return {
     slot,
     gang: spec.shape === 'gang',
+    everywhere: spec.shape === 'service' && !spec.sameZone,
     tasks,
     durationS: runS,
     cpus: spec.cpus,
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -35,7 +35,8 @@
 /** The version of a key that does not exist. */
 export const ABSENT = revision(0n);
 
-export type Shape = 'array' | 'gang';
+/** A service's tasks run until it is cancelled; the design names them, the protocol page doesn't (docs/questions.md). */
+export type Shape = 'array' | 'gang' | 'service';
 /** 0 is the lowest user priority, 3 the highest. */
 export type Rank = 0 | 1 | 2 | 3;
 
--- a/src/io/front.ts
+++ b/src/io/front.ts
@@ -41,7 +41,7 @@
   return fields(value, 'the body');
 }
 
-function submission(f: Fields): UserRequest | string {
+function submission(f: Fields, refused: (what: string) => void): UserRequest | string {
   const id = jobId(f.ref);
   if (!id) return 'ref is not a job id';
   try {
@@ -49,6 +49,7 @@
   } catch (e) {
     if (!(e instanceof WireError)) throw e;
     // A known job is answered with its state whatever the repeat's body: the desk decides.
+    refused(`submission ${id}: ${e.message}`);
     return { op: 'submit', id, spec: null, problem: e.message };
   }
 }
@@ -81,7 +82,7 @@
   app.post('/v2/runs', limit, async (c) => {
     let request: UserRequest | string;
     try {
-      request = submission(await readMap(c));
+      request = submission(await readMap(c), handlers.malformed);
     } catch (e) {
       if (!(e instanceof WireError)) throw e;
       request = e.message;
--- a/src/io/peer_codec.ts
+++ b/src/io/peer_codec.ts
@@ -13,6 +13,7 @@
 export type PeerFrame = { readonly kind: 'hello'; readonly node: NodeName } | PeerMessage;
 
 const KINDS = ['hello', 'status', 'relay', 'relayed'] as const;
+const SHAPES = ['array', 'gang', 'service'] as const;
 const OPS = ['submit', 'poll', 'cancel'] as const;
 const MOODS: readonly UserMood[] = ['queued', 'running', 'done', 'cancelled'];
 
@@ -107,7 +108,7 @@
 function writeSpec(w: Writer, s: JobSpec): void {
   w.text(s.jobClass);
   w.text(s.team);
-  w.u8(s.shape === 'gang' ? 1 : 0);
+  w.u8(SHAPES.indexOf(s.shape));
   w.u8(s.rank);
   w.u32(s.tasks);
   for (const n of [s.cpus, s.gpus, s.memGb, s.imageGb, s.estimateS, s.checkpointS, s.saveS]) w.f64(n);
@@ -121,7 +122,7 @@
 function readSpec(r: Reader, id: JobSpec['id']): JobSpec {
   const jobClass = r.text();
   const team = r.text() as JobSpec['team'];
-  const shape = r.pick(['array', 'gang'] as const);
+  const shape = r.pick(SHAPES);
   const rank = r.pick([0, 1, 2, 3] as const);
   const tasks = r.u32();
   const [cpus, gpus, memGb, imageGb, estimateS, checkpointS, saveS] = [
--- a/src/io/wire.ts
+++ b/src/io/wire.ts
@@ -50,7 +50,7 @@
 } from './fields.js';
 
 /** The names of the wire stand here and nowhere else. */
-const SHAPES: Readonly<Record<string, Shape>> = { batch: 'array', ensemble: 'gang' };
+const SHAPES: Readonly<Record<string, Shape>> = { batch: 'array', ensemble: 'gang', daemon: 'service' };
 const RANKS: Readonly<Record<string, Rank>> = { low: 0, normal: 1, urgent: 2, critical: 3 };
 const PHASES: Readonly<Record<string, TaskPhase>> = {
   pulling: 'fetching',
