One splitter for host:port; state that nothing read is gone

Four copies of the same split become io/address.ts; unused fields, a timer name, a method and a one-line wrapper are removed. Behaviour is unchanged.

--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -91,7 +91,6 @@
         this.cluster.ctx.log('info', 'machine found in the list', { machine: l.id, phase: l.phase });
       }
       if (l.addr && !m.addr) m.addr = l.addr;
-      m.lastListedAt = this.now;
       const rented = (this.now - l.ageS * 1000) as Steady;
       if (rented < m.rentedAt) m.rentedAt = rented;
       if (l.phase === 'failed' && !m.deleting) {
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -32,8 +32,7 @@
   | 'direct'
   | 'load'
   | 'store'
-  | 'cloud'
-  | 'desk';
+  | 'cloud';
 
 type Reply<T> = (result: Result<T>) => void;
 
@@ -44,8 +43,7 @@
   now: Now = { steady: 0 as Steady, wall: 0 as Now['wall'] };
   outputs: Output[] = [];
   readonly timers = new Timers<TimerName>();
-  /** When the state service last answered this node with anything but a refusal. */
-  storeOkAt: Steady;
+  /** Since when the state service has only refused this node or not answered; null: it answers. */
   storeFailingSince: Steady | null = null;
 
   private lastCall: CallId = 0;
@@ -61,7 +59,6 @@
     start: Now,
   ) {
     this.now = start;
-    this.storeOkAt = start.steady;
     // The nodes share the service's limits without talking about it: each keeps to somewhat over an equal part,
     // and a refusal makes it pause.
     const part = Math.min(1, 1.5 / settings.nodes);
@@ -138,7 +135,6 @@
     if (!reply) return;
     this.storeCalls.delete(call);
     if (result.ok || (result.why !== 'refused' && result.why !== 'unknown')) {
-      this.storeOkAt = this.now.steady;
       this.storeFailingSince = null;
     } else {
       this.storeFailingSince ??= this.now.steady;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -42,7 +42,6 @@
   /** Known to the store: before that, no command goes to it. */
   registered = false;
   registering = false;
-  registryAddr = '';
   /** False while it may hold tasks we don't know of: it was registered by an earlier leader and hasn't shown us its list. */
   accounted: boolean;
   session: Session | null = null;
@@ -63,7 +62,6 @@
   deleting = false;
   returning = false;
   countedLost = false;
-  lastListedAt: Steady | null = null;
   directInFlight = false;
   /** Kept for a moment for a job that is on its way here. */
   reserved: { readonly job: JobId; readonly until: Steady } | null = null;
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -183,7 +183,6 @@
     if (!record || !type) return;
     const m = new Machine(record.id, type, record.zone, record.spot, record.addr, false, 'up', this.ctx.now.steady);
     m.registered = true;
-    m.registryAddr = record.addr;
     m.restoreImages(record.images, record.fetchSpeed, this.ctx.now.steady);
     m.recordedImages = imagesText(m);
     this.cluster.machines.set(m.id, m);
@@ -198,11 +197,7 @@
     this.cluster.learnJob(record, item.version);
   }
 
-  watchAgain(): void {
-    this.watch();
-  }
-
-  private watch(): void {
+  watch(): void {
     if (this.stopped || this.watchFrom === null) return;
     let sentAt = this.ctx.now.steady;
     this.ctx.store(
--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -154,14 +154,13 @@
           this.leader?.sendDirect();
           break;
         case 'watch':
-          this.leader?.watchAgain();
+          this.leader?.watch();
           break;
         case 'load':
           this.leader?.load();
           break;
         case 'store':
         case 'cloud':
-        case 'desk':
           break;
       }
     }
--- a/src/core/quotas.ts
+++ b/src/core/quotas.ts
@@ -48,11 +48,6 @@
       roomFor(team.gpusMax, use.gpus + this.unaccounted.gpus, spec.gpus),
     );
   }
-
-  hasGuarantee(name: TeamName): boolean {
-    const t = this.teams.get(name);
-    return t !== undefined && (t.cpus > 0 || t.gpus > 0);
-  }
 }
 
 /** Whether a job could ever run within its team's limit. */
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -30,7 +30,6 @@
 }
 
 export const steadyPlus = (t: Steady, ms: number): Steady => (t + ms) as Steady;
-export const wallPlus = (t: Wall, ms: number): Wall => (t + ms) as Wall;
 export const revision = (n: bigint | number): Revision => BigInt(n) as Revision;
 /** The version of a key that does not exist. */
 export const ABSENT = revision(0n);
--- a/src/io/http_client.ts
+++ b/src/io/http_client.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from 'node:http';
+import { hostPort } from './address.js';
 import { decode, encode } from './cbor.js';
 
 export interface Reply {
@@ -15,9 +16,9 @@
   private readonly port: number;
 
   constructor(addr: string, sockets: number) {
-    const colon = addr.lastIndexOf(':');
-    this.host = addr.slice(0, colon);
-    this.port = Number(addr.slice(colon + 1));
+    const { host, port } = hostPort(addr);
+    this.host = host;
+    this.port = port;
     this.agent = new Agent({ keepAlive: true, maxSockets: sockets, maxFreeSockets: sockets, scheduling: 'lifo' });
   }
 
--- a/src/io/peer_link.ts
+++ b/src/io/peer_link.ts
@@ -1,6 +1,7 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import type { PeerMessage } from '../core/messages.js';
 import type { NodeName } from '../core/types.js';
+import { hostPort } from './address.js';
 import type { Log } from './log.js';
 import { encodeFrame, FrameSplitter, type PeerFrame } from './peer_codec.js';
 
@@ -29,9 +30,9 @@
   }
 
   listen(addr: string): void {
-    const colon = addr.lastIndexOf(':');
+    const { host, port } = hostPort(addr);
     this.server.on('error', (e) => this.log('error', 'peer listener failed', { error: e.message }));
-    this.server.listen(Number(addr.slice(colon + 1)), addr.slice(0, colon));
+    this.server.listen(port, host);
     for (const o of this.out.values()) o.open();
   }
 
@@ -80,9 +81,9 @@
     private readonly me: NodeName,
     addr: string,
   ) {
-    const colon = addr.lastIndexOf(':');
-    this.host = addr.slice(0, colon);
-    this.port = Number(addr.slice(colon + 1));
+    const { host, port } = hostPort(addr);
+    this.host = host;
+    this.port = port;
   }
 
   open(): void {
--- a/src/io/runtime.ts
+++ b/src/io/runtime.ts
@@ -5,6 +5,7 @@
 import { Node } from '../core/node.js';
 import type { Tuning } from '../core/settings.js';
 import type { Now, Steady, Wall } from '../core/types.js';
+import { hostPort } from './address.js';
 import { makeFront } from './front.js';
 import { HttpClient, type Reply } from './http_client.js';
 import type { Log } from './log.js';
@@ -79,12 +80,12 @@
 
   start(): void {
     const { listen } = this.platform;
-    const colon = listen.lastIndexOf(':');
+    const { host, port } = hostPort(listen);
     this.front.on('error', (e) => {
       this.log('error', 'cannot listen', { listen, error: e.message });
       process.exit(1);
     });
-    this.front.listen(Number(listen.slice(colon + 1)), listen.slice(0, colon), () => {
+    this.front.listen(port, host, () => {
       this.log('info', 'started', { listen, peers: this.platform.peers.length });
     });
     this.peers.listen(this.platform.peerListen);
