--- a/src/config/tuning.ts
+++ b/src/config/tuning.ts
@@ -27,6 +27,8 @@
     warm_reluctance_s: notNegative,
     future_doubt: within(0, 10),
     overdue_share: within(0, 10),
+    overdue_after_s: positive,
+    spacing_per_machine_ms: notNegative,
     urgency: notNegative,
     urgency_horizon_s: positive,
   }),
--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -26,7 +26,10 @@
 }
 
 const kindKey = (type: TypeName, zone: ZoneName, spot: boolean): string => `${type}|${zone}|${spot}`;
-const RENT_AT_ONCE = 8;
+/** What the cloud takes in one request. */
+const RENT_AT_ONCE = 50;
+const DELETE_AT_ONCE = 100;
+const LIST_MS = 6000;
 /** Capacity for guarantees is given back when there has been no work at all for so long. */
 const GUARANTEE_KEEP_MS = 30_000;
 
@@ -40,11 +43,15 @@
   private listedOnce = false;
   private lastWorkAt: Steady;
   private spotsSeenAt: Steady;
+  private toDelete: Machine[] = [];
+  private deletes = 0;
+  /** Machines by type and zone, counted once a round. */
+  private counted: Map<string, number> | null = null;
 
   constructor(
     private readonly cluster: Cluster,
     private readonly adopt: (m: Machine) => void,
-    private readonly dropRecord: (id: MachineId) => void,
+    private readonly dropRecord: (m: Machine) => void,
   ) {
     this.lastWorkAt = steadyPlus(cluster.ctx.now.steady, -GUARANTEE_KEEP_MS);
     this.spotsSeenAt = cluster.ctx.now.steady;
@@ -102,6 +109,7 @@
         this.remove(m, 'failed');
       }
     }
+    this.sendDeletes();
   }
 
   // ---- returning
@@ -113,36 +121,46 @@
     if (why === 'silent' || why === 'failed') this.countLost(m);
     m.draining ??= why;
     this.cluster.ctx.log('info', 'returning machine', { machine: m.id, type: m.typeName, why });
-    this.sendDelete(m);
+    this.toDelete.push(m);
   }
 
-  private sendDelete(m: Machine): void {
-    this.cluster.ctx.cloud({ op: 'delete', machines: [m.id] }, 1, (r) => {
-      if (this.cluster.machines.get(m.id) !== m) return;
-      if (!r.ok) {
-        m.deleting = false;
-        return;
-      }
-      this.cluster.forgetMachine(m);
-      if (m.registered || m.registering) this.dropRecord(m.id);
-      this.cluster.ctx.timers.set('round', this.now);
-    });
+  /** Returns what was marked, as many to a request as the cloud takes. */
+  private sendDeletes(): void {
+    while (this.toDelete.length > 0 && this.deletes < 2) {
+      const batch = this.toDelete.splice(0, DELETE_AT_ONCE);
+      this.deletes += 1;
+      this.cluster.ctx.cloud({ op: 'delete', machines: batch.map((m) => m.id) }, 1, (r) => {
+        this.deletes -= 1;
+        for (const m of batch) {
+          if (this.cluster.machines.get(m.id) !== m) continue;
+          if (!r.ok) {
+            m.deleting = false;
+            continue;
+          }
+          this.cluster.forgetMachine(m);
+          this.dropRecord(m);
+        }
+        if (r.ok) this.cluster.ctx.timers.set('round', steadyPlus(this.now, 20));
+        this.sendDeletes();
+      });
+    }
   }
 
   /** Machines that should go: idle, stuck, silent, or out of use and empty. */
   tend(leaderSince: Steady): void {
     const { tuning, settings } = this.cluster.ctx;
     const now = this.now;
-    if (!this.listing && now - this.lastListAt > 4000) this.list();
+    if (!this.listing && now - this.lastListAt > LIST_MS) this.list();
     this.watchSpot();
     let heard = 0;
     let up = 0;
     for (const m of this.cluster.machines.values()) {
       if (m.phase !== 'up') continue;
       up += 1;
-      if (now - m.lastHeardAt < 2.5 * settings.workers.reportMs) heard += 1;
+      if (now - m.heardAt < 2.5 * settings.workers.reportMs) heard += 1;
     }
     // If most workers are silent, it is we who are cut off.
+    const spare = this.guaranteeShort();
     const hearing = heard * 2 >= up && now - leaderSince > 3 * settings.workers.reportMs;
     for (const m of [...this.cluster.machines.values()]) {
       if (m.deleting) continue;
@@ -154,7 +172,7 @@
         this.remove(m, 'taken by the cloud');
         continue;
       }
-      const silent = now - m.lastHeardAt;
+      const silent = now - m.heardAt;
       if (m.phase === 'booting') {
         const age = (now - m.rentedAt) / 1000;
         if (age > Math.max(30, m.type.bootS * tuning.machines.boot_give_up)) this.remove(m, 'never came up');
@@ -164,13 +182,17 @@
         // Deleting it proves it empty sooner than its lease would.
         this.remove(m, 'silent');
       } else if (hearing && silent > settings.workers.leaseMs + 15_000) this.remove(m, 'silent');
-      else if (m.placements.size === 0 && m.exited.length === 0 && this.surplus(m)) this.remove(m, 'idle');
+      else if (hearing && m.deafSince !== null && now - m.deafSince > settings.workers.leaseMs + 15_000)
+        this.remove(m, 'does not heed commands');
+      else if (m.placements.size === 0 && m.exited.length === 0 && this.idle(m)) {
+        // What the guarantees don't need.
+        if (spare.gpus >= -m.type.gpus + 0.5 || spare.cpus >= -m.type.cpus + 0.5) continue;
+        spare.gpus += m.type.gpus;
+        spare.cpus += m.type.cpus;
+        this.remove(m, 'idle');
+      }
     }
-  }
-
-  private beyondGuarantees(m: Machine): boolean {
-    const short = this.guaranteeShort();
-    return short.gpus < -m.type.gpus + 0.5 && short.cpus < -m.type.cpus + 0.5;
+    this.sendDeletes();
   }
 
   private countLost(m: Machine): void {
@@ -191,12 +213,12 @@
     this.cluster.hazard.pass(spots, seconds);
   }
 
-  private surplus(m: Machine): boolean {
+  private idle(m: Machine): boolean {
     const { tuning } = this.cluster.ctx;
     const idleS = (this.now - Math.max(m.idleSince, m.firstHeardAt ?? m.idleSince)) / 1000;
     // It has been charged for a minute whatever happens.
     if ((this.now - m.rentedAt) / 1000 < 55) return false;
-    return idleS >= tuning.machines.idle_return_s && this.beyondGuarantees(m);
+    return idleS >= tuning.machines.idle_return_s;
   }
 
   /** What the teams' guarantees ask for beyond what is there; negative: to spare. */
@@ -226,6 +248,7 @@
   consider(round: RoundResult): void {
     if (this.cluster.active.size > 0) this.lastWorkAt = this.now;
     if (!this.listedOnce) return;
+    this.counted = null;
     const need = new Map<string, { kind: Kind; machines: number; least: number }>();
     for (const { job, tasks, unplaced } of this.lateTasks(round)) {
       const kind = this.cheapest(job, tasks);
@@ -237,6 +260,20 @@
       if (unplaced) entry.least = 1;
       need.set(key, entry);
     }
+    const unused = this.unusedComing(round);
+    for (const { job, tasks } of round.beyond) {
+      const kind = this.cheapest(job, tasks);
+      if (!kind) continue;
+      let machines = this.machinesFor(job, kind.type, tasks);
+      // Machines that are on their way and that the plan has no use for will take some of it.
+      const coming = Math.min(machines, unused.get(kind.type.name) ?? 0);
+      unused.set(kind.type.name, (unused.get(kind.type.name) ?? 0) - coming);
+      machines -= coming;
+      const key = kindKey(kind.type.name, kind.zone, kind.spot);
+      const entry = need.get(key) ?? { kind, machines: 0, least: 0 };
+      entry.machines += machines;
+      need.set(key, entry);
+    }
     for (const { kind, machines, least } of need.values()) {
       const rounded = Math.floor(machines + this.cluster.ctx.tuning.machines.rent_round_up);
       const n = Math.max(least, rounded) - this.beingRented(kind);
@@ -246,6 +283,17 @@
     this.moveToSpot();
   }
 
+  /** Booting machines, by type, on which the plan starts nothing. */
+  private unusedComing(round: RoundResult): Map<TypeName, number> {
+    const used = new Set<number>();
+    for (const s of round.capacity.starts) used.add(s.machine);
+    const unused = new Map<TypeName, number>();
+    round.machines.forEach((m, slot) => {
+      if (m.phase === 'booting' && !used.has(slot)) unused.set(m.typeName, (unused.get(m.typeName) ?? 0) + 1);
+    });
+    return unused;
+  }
+
   private beingRented(kind: Kind): number {
     let n = 0;
     for (const r of this.rentals.values()) if (r.kind.type.name === kind.type.name) n += r.count;
@@ -307,10 +355,16 @@
   }
 
   private countIn(zone: ZoneName, type: MachineType): number {
-    let n = 0;
-    for (const m of this.cluster.machines.values()) if (m.zone === zone && m.typeName === type.name) n += 1;
-    for (const r of this.rentals.values()) if (r.kind.zone === zone && r.kind.type.name === type.name) n += r.count;
-    return n;
+    if (this.counted === null) {
+      this.counted = new Map();
+      const add = (z: ZoneName, t: TypeName, n: number): void => {
+        const key = `${t}|${z}`;
+        this.counted?.set(key, (this.counted.get(key) ?? 0) + n);
+      };
+      for (const m of this.cluster.machines.values()) add(m.zone, m.typeName, 1);
+      for (const r of this.rentals.values()) add(r.kind.zone, r.kind.type.name, r.count);
+    }
+    return this.counted.get(`${type.name}|${zone}`) ?? 0;
   }
 
   /** Guaranteed teams need not wait for machines to boot: capacity for all guarantees is kept while there is work. */
--- /dev/null
+++ b/src/core/beats.ts
@@ -0,0 +1,343 @@
+import type { Cluster } from './cluster.js';
+import type { Context } from './context.js';
+import type { Leadership } from './election.js';
+import { DEAF_AFTER, Machine } from './fleet.js';
+import type { Job } from './jobs.js';
+import type { WorkerAnswer } from './messages.js';
+import { applyReport, compileCommands, isNewer } from './reports.js';
+import { type Seq, type Session, type Steady, steadyPlus, type WorkerReport } from './types.js';
+
+const HOLD_MS = 600;
+/** Workers drop an answer that comes after 4 s: an idle one is kept waiting for well less. */
+const IDLE_HOLD_SHARE = 0.8;
+const IDLE_HOLD_MOST_MS = 2500;
+const WATCH_FRESH_MS = 10_000;
+/** A worker shows a new token with its next report or the one after; what goes on without it isn't listening. */
+const OLD_TOKEN_ANSWERS = 4;
+const PROBE_MS = 3000;
+const FENCES_AT_ONCE = 24;
+
+export type BeatReply = (answer: WorkerAnswer) => void;
+
+interface HeldBeat {
+  readonly reply: BeatReply;
+  readonly machine: Machine;
+  readonly seq: Seq;
+  readonly until: Steady;
+  /** Kept back only in case work comes up: the machine is empty. */
+  readonly idle: boolean;
+}
+
+export interface BeatsHelp {
+  valid(): boolean;
+  loaded(): boolean;
+  /** Whether records are being written that a start may wait for. */
+  writing(): boolean;
+  /** When what the store holds of jobs was last known to be current. */
+  jobsFreshAt(): Steady;
+  register(m: Machine): void;
+  soonRound(): void;
+}
+
+/** Reports taken in and answered, whichever node they reached; commands sent directly; fencing. */
+export class Beats {
+  private readonly ctx: Context;
+  private held: HeldBeat[] = [];
+  private stopped = false;
+  private fencing = 0;
+  private toFence: Machine[] = [];
+  private copies = 0;
+
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly leadership: Leadership,
+    private readonly help: BeatsHelp,
+  ) {
+    this.ctx = cluster.ctx;
+  }
+
+  stop(): void {
+    this.stopped = true;
+    for (const h of this.held) h.reply({ status: 503 });
+    this.held = [];
+    this.toFence = [];
+  }
+
+  private at(ms: number): Steady {
+    return steadyPlus(this.ctx.now.steady, ms);
+  }
+
+  // ---- fencing
+
+  /** Raises every registered worker's token, so that nothing an earlier leader sent can still be carried out. */
+  fence(): void {
+    for (const m of this.cluster.machines.values()) if (!m.accounted && m.addr) this.toFence.push(m);
+    this.fenceNext();
+  }
+
+  /** A few at a time: their own reports raise most tokens meanwhile, and cost nothing more. */
+  private fenceNext(): void {
+    while (this.fencing < FENCES_AT_ONCE) {
+      const m = this.toFence.shift();
+      if (!m) return;
+      if (m.accounted || this.cluster.machines.get(m.id) !== m) continue;
+      this.fencing += 1;
+      this.call(m, 1n as Session, 0, () => {
+        this.fencing -= 1;
+        if (!this.stopped) this.fenceNext();
+      });
+    }
+  }
+
+  /** An empty direct command: it raises the token, and its answer is a list and a proof that the machine is reached. */
+  private call(m: Machine, session: Session, tries: number, done: () => void): void {
+    const { token } = this.leadership;
+    m.directInFlight = true;
+    this.ctx.worker({ addr: m.addr, token, session, commands: [] }, (r) => {
+      m.directInFlight = false;
+      if (this.stopped || this.cluster.machines.get(m.id) !== m) return done();
+      if (!r.ok || r.value.report.machine !== m.id) return done();
+      this.takeReport(m, r.value.report, false);
+      // The session was another: its number is in the answer.
+      if (!r.value.executed && tries < 2) return this.call(m, r.value.report.session, tries + 1, done);
+      if (r.value.executed) this.noteReached(m);
+      done();
+    });
+  }
+
+  private noteReached(m: Machine): void {
+    if (!m.reached()) return;
+    this.ctx.log('info', 'machine heeds commands again', { machine: m.id });
+    this.help.soonRound();
+  }
+
+  /** What we say doesn't reach it, whatever we hear of it: no new work, until an answer to a direct call proves otherwise. */
+  private setAside(m: Machine): void {
+    m.deafSince = this.ctx.now.steady;
+    m.probeAt = this.at(PROBE_MS);
+    this.ctx.log('info', 'machine reports but does not heed answers: set aside', { machine: m.id });
+    for (const p of [...m.placements.values()]) if (p.phase === 'planned') this.cluster.release(p);
+    this.help.soonRound();
+  }
+
+  /** Asks machines that were set aside, and such as have yet to show that they are there, for an answer. */
+  probe(): void {
+    const now = this.ctx.now.steady;
+    for (const m of this.cluster.machines.values()) {
+      if ((m.deafSince === null && m.proven) || m.phase !== 'up' || m.probeAt > now) continue;
+      if (m.directInFlight || !m.addr || m.deleting) continue;
+      m.probeAt = this.at(PROBE_MS);
+      this.call(m, m.session ?? (1n as Session), 0, () => {});
+    }
+  }
+
+  // ---- reports
+
+  take(report: WorkerReport, reply: BeatReply): void {
+    if (!this.help.valid()) return reply({ status: 503 });
+    if (report.token > this.leadership.token) return reply({ status: 503 });
+    const answer = (): void => reply({ status: 200, token: this.leadership.token, commands: [] });
+    if (!this.help.loaded()) return answer();
+    if (this.cluster.gone.has(report.machine)) return reply({ status: 503 });
+    const m = this.cluster.machines.get(report.machine) ?? this.adopt(report);
+    if (!m) return answer();
+    if (this.isCopy(m, report)) return this.dropCopy(m, report, reply);
+    const old = report.token < this.leadership.token;
+    if (old && !m.proven && ++m.oldTokenAnswers > OLD_TOKEN_ANSWERS) return reply({ status: 503 });
+    this.noteUnheeded(m, report, old);
+    this.heard(m, report);
+    const first = m.firstHeardAt === null;
+    if (first) {
+      m.firstHeardAt = this.ctx.now.steady;
+      m.idleSince = this.ctx.now.steady;
+    }
+    if (!m.registered) this.help.register(m);
+    const newer = isNewer(m, report);
+    const freed = this.takeReport(m, report, true);
+    m.beatSeq = report.seq;
+    if (!newer || m.seq !== report.seq || m.session !== report.session) return answer();
+    const beat: HeldBeat = { reply, machine: m, seq: report.seq, until: this.at(HOLD_MS), idle: false };
+    if (freed || first) {
+      // Room came free: plan at once, so that the answer already carries what starts in it.
+      this.help.soonRound();
+      this.hold(beat);
+    } else if (this.waitsForStore(m)) this.hold(beat);
+    else if (this.mayIdle(m, report)) this.hold({ ...beat, until: this.at(this.idleHoldMs()), idle: true });
+    else this.answer(beat);
+  }
+
+  /** One report is in flight at a time, and numbers rise: whatever isn't newer than the last is a copy or came too late. */
+  private isCopy(m: Machine, r: WorkerReport): boolean {
+    if (m.session === null) return false;
+    return r.session < m.session || (r.session === m.session && m.beatSeq !== null && r.seq <= m.beatSeq);
+  }
+
+  /** Nobody waits for its answer; it is no sign of life and moves no lease. */
+  private dropCopy(m: Machine, report: WorkerReport, reply: BeatReply): void {
+    this.copies += 1;
+    this.ctx.log('debug', 'late copy of a report', { machine: m.id, seq: report.seq, copies: this.copies });
+    reply({ status: 503 });
+  }
+
+  /** Signs that our last answers have not arrived: an old token after one, or a lease that ran out all the same. */
+  private noteUnheeded(m: Machine, report: WorkerReport, old: boolean): void {
+    if (m.firstHeardAt === null) return;
+    const answeredLately = this.ctx.now.steady - m.answeredAt < this.ctx.settings.workers.leaseMs / 2;
+    if (m.session !== null && report.session > m.session && answeredLately) m.unheeded = DEAF_AFTER;
+    else if (old) m.unheeded += 1;
+  }
+
+  private heard(m: Machine, report: WorkerReport): void {
+    const { steady } = this.ctx.now;
+    m.heardAt = steady;
+    m.answeredAt = steady;
+    if (report.addr) m.addr = report.addr;
+    if (m.phase !== 'booting') return;
+    m.phase = 'up';
+    this.ctx.log('info', 'machine is up', {
+      machine: m.id,
+      type: m.typeName,
+      zone: m.zone,
+      spot: m.spot,
+      afterS: Math.round((steady - m.rentedAt) / 1000),
+    });
+  }
+
+  /**
+   * Not in the registry, so nobody has ever sent it a command: its list can hold nothing of ours. But the report may be a
+   * late copy from a machine that is long gone: it gets no work before it has shown that it hears us.
+   */
+  private adopt(report: WorkerReport): Machine | null {
+    const type = this.cluster.types.get(report.type);
+    if (!type) return null;
+    const now = this.ctx.now.steady;
+    const m = new Machine(report.machine, type, report.zone, report.spot, report.addr, true, 'up', now);
+    this.cluster.machines.set(m.id, m);
+    this.ctx.log('info', 'machine reported that nobody had listed', { machine: m.id });
+    return m;
+  }
+
+  private takeReport(m: Machine, report: WorkerReport, beat: boolean): boolean {
+    const { token } = this.leadership;
+    const before = m.tokenSeen;
+    if (report.token === token && before < token) this.noteReached(m);
+    const freed = applyReport(this.cluster, m, report, token, beat);
+    if (!beat) m.heardAt = this.ctx.now.steady;
+    if (freed) this.help.soonRound();
+    if (m.unheeded >= DEAF_AFTER && m.deafSince === null) this.setAside(m);
+    return freed;
+  }
+
+  // ---- answers
+
+  /**
+   * An empty machine's report is answered late on purpose: work that comes up meanwhile starts at once instead of with
+   * its next report. Nothing can change on an empty machine that the delay would hide, except a notice.
+   */
+  private mayIdle(m: Machine, report: WorkerReport): boolean {
+    return (
+      m.placements.size === 0 && m.exited.length === 0 && report.token === this.leadership.token && m.draining === null
+    );
+  }
+
+  private idleHoldMs(): number {
+    return Math.min(IDLE_HOLD_MOST_MS, this.ctx.settings.workers.reportMs * IDLE_HOLD_SHARE);
+  }
+
+  private hold(beat: HeldBeat): void {
+    this.held.push(beat);
+    const due = this.ctx.timers.at('held');
+    if (due === null || beat.until < due) this.ctx.timers.set('held', beat.until);
+  }
+
+  private waitsForStore(m: Machine): boolean {
+    if (!m.registered) return true;
+    for (const p of m.placements.values()) if (p.phase === 'planned' && p.job.durableStartTerm === 0) return true;
+    return false;
+  }
+
+  /** Answers held reports that have nothing left to wait for. */
+  release(): void {
+    if (this.held.length === 0) return;
+    const now = this.ctx.now.steady;
+    const pendingRound = this.ctx.timers.has('round', this.at(this.ctx.tuning.scheduler.spacing_ms + 20));
+    const kept: HeldBeat[] = [];
+    let next = Number.POSITIVE_INFINITY;
+    for (const h of this.held) {
+      const idle = h.idle && h.machine.placements.size === 0;
+      const wait =
+        h.until > now && (idle || (pendingRound && !h.idle) || (this.help.writing() && this.waitsForStore(h.machine)));
+      if (wait) {
+        kept.push(h);
+        if (h.until < next) next = h.until;
+      } else this.answer(h);
+    }
+    this.held = kept;
+    if (kept.length > 0) this.ctx.timers.set('held', next as Steady);
+  }
+
+  private answer(h: HeldBeat): void {
+    if (!this.help.valid()) return h.reply({ status: 503 });
+    const m = h.machine;
+    const fresh = this.ctx.now.steady - this.help.jobsFreshAt() < WATCH_FRESH_MS;
+    const all = m.accounted ? compileCommands(this.cluster, m, true) : [];
+    const commands: typeof all = [];
+    for (const c of all) {
+      if (c.op !== 'start') {
+        commands.push(c);
+        continue;
+      }
+      const p = this.cluster.findPlacement(m, c.job, c.index);
+      if (!p || !fresh || m.seq !== h.seq || !this.mayStart(p.job, m)) continue;
+      p.phase = 'sent';
+      p.sentSeq = h.seq;
+      commands.push(c);
+    }
+    h.reply({ status: 200, token: this.leadership.token, commands });
+  }
+
+  /** The last look before a start goes out. */
+  private mayStart(job: Job, m: Machine): boolean {
+    return (
+      job.state === 'accepted' &&
+      job.durableState === 'accepted' &&
+      job.durableStartTerm > 0 &&
+      !job.broken &&
+      m.registered &&
+      m.deafSince === null
+    );
+  }
+
+  /** Stops go to the workers at once; starts only ever in answers to reports. */
+  sendDirect(): void {
+    if (!this.help.valid()) return;
+    let again = false;
+    for (const m of this.cluster.stopping) {
+      if (this.cluster.machines.get(m.id) !== m || m.placements.size === 0) {
+        this.cluster.stopping.delete(m);
+        continue;
+      }
+      if (!m.accounted || !m.addr || m.session === null || m.deleting) continue;
+      const commands = compileCommands(this.cluster, m, false).filter((c) => {
+        const p = c.op === 'stop' ? this.cluster.findPlacement(m, c.job, c.index) : undefined;
+        return p?.stop !== null && p !== undefined && (p.phase !== 'saving' || p.stop?.graceS === 0);
+      });
+      if (commands.length === 0) {
+        this.cluster.stopping.delete(m);
+        continue;
+      }
+      again = true;
+      if (m.directInFlight) continue;
+      m.directInFlight = true;
+      const { session } = m;
+      this.ctx.worker({ addr: m.addr, token: this.leadership.token, session, commands }, (r) => {
+        m.directInFlight = false;
+        if (this.stopped || !r.ok || r.value.report.machine !== m.id) return;
+        if (this.cluster.machines.get(m.id) !== m) return;
+        this.takeReport(m, r.value.report, false);
+        if (r.value.executed) this.noteReached(m);
+      });
+    }
+    if (again) this.ctx.timers.set('direct', this.at(1000));
+  }
+}
--- a/src/core/buckets.ts
+++ b/src/core/buckets.ts
@@ -6,14 +6,28 @@
   private at: Steady;
 
   constructor(
-    private readonly ratePerS: number,
-    private readonly burst: number,
+    private ratePerS: number,
+    private burst: number,
     now: Steady,
   ) {
     this.level = burst;
     this.at = now;
   }
 
+  /** A node's part of a shared limit changes with what it does: what is in the bucket stays, up to the new burst. */
+  resize(ratePerS: number, burst: number, now: Steady): void {
+    this.refill(now);
+    this.ratePerS = ratePerS;
+    this.burst = burst;
+    this.level = Math.min(this.level, burst);
+  }
+
+  /** The part of the burst that is there now: below 0.5 what can wait should. */
+  fullness(now: Steady): number {
+    this.refill(now);
+    return this.level / this.burst;
+  }
+
   private refill(now: Steady): void {
     if (now <= this.at) return;
     this.level = Math.min(this.burst, this.level + ((now - this.at) / 1000) * this.ratePerS);
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -20,6 +20,9 @@
   readonly hazard = new SpotHazard();
   /** The largest tasks seen that use an image. */
   readonly imageUsers = new Map<ImageName, Resources>();
+  readonly imageGb = new Map<ImageName, number>();
+  /** Machines with tasks that were told to stop: only these need direct commands. */
+  readonly stopping = new Set<Machine>();
   types: ReadonlyMap<TypeName, MachineType> = new Map();
   private attempts = 0n;
 
@@ -46,6 +49,7 @@
     }
     const job = new Job(record, version);
     this.jobs.set(job.id, job);
+    this.imageGb.set(job.spec.image, job.spec.imageGb);
     const user = this.imageUsers.get(job.spec.image);
     if (!user || user.gpus < job.spec.gpus || user.cpus < job.spec.cpus) this.imageUsers.set(job.spec.image, job.spec);
     if (job.state === 'accepted') this.active.add(job);
@@ -119,6 +123,7 @@
   stop(p: Placement, graceS: number): void {
     if (p.stop && p.stop.graceS <= graceS) return;
     p.stop = { graceS, since: this.ctx.now.steady };
+    this.stopping.add(p.machine);
     this.ctx.timers.set('direct', this.ctx.now.steady);
   }
 
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -23,7 +23,8 @@
   | 'election'
   | 'renew'
   | 'status'
-  | 'watch'
+  | 'mirror'
+  | 'polls'
   | 'round'
   | 'flush'
   | 'held'
@@ -36,6 +37,9 @@
 
 type Reply<T> = (result: Result<T>) => void;
 
+const LEADER_PART = 0.65;
+const FOLLOWERS_PART = 0.7;
+
 const REFUSED = { ok: false, why: 'refused' } as const;
 
 /** The step in progress: the time, the outputs gathered, and the calls still without an answer. */
@@ -51,6 +55,8 @@
   private readonly cloudCalls = new Map<CallId, Reply<CloudValue>>();
   private readonly workerCalls = new Map<CallId, Reply<WorkerValue>>();
   private readonly storeQueue: CallQueue<StoreOp>;
+  private readonly storeCallsBucket: TokenBucket;
+  private readonly storeWrites: TokenBucket;
   private readonly cloudQueue: CallQueue<CloudOp>;
 
   constructor(
@@ -59,17 +65,32 @@
     start: Now,
   ) {
     this.now = start;
-    // The nodes share the service's limits without talking about it: each keeps to somewhat over an equal part,
-    // and a refusal makes it pause.
-    const part = Math.min(1, 1.5 / settings.nodes);
     const s = settings.store;
-    this.storeQueue = new CallQueue(
-      new TokenBucket(s.rps * part, s.rps * part, start.steady),
-      new TokenBucket(s.writeRps * part, Math.max(s.txnOps, s.writeRps * part), start.steady),
-    );
+    this.storeCallsBucket = new TokenBucket(s.rps, s.rps, start.steady);
+    this.storeWrites = new TokenBucket(s.writeRps, s.writeRps, start.steady);
+    this.storeQueue = new CallQueue(this.storeCallsBucket, this.storeWrites);
+    this.leading(false);
     this.cloudQueue = new CallQueue(new TokenBucket(settings.cloud.rps * 0.8, settings.cloud.rps, start.steady), null);
   }
 
+  /**
+   * The nodes share the service's limits without talking about it. Most of what is written comes from the leader, so it
+   * takes the larger part and the others share the rest; together somewhat over the whole, and a refusal makes a node
+   * pause.
+   */
+  leading(yes: boolean): void {
+    const { nodes, store } = this.settings;
+    const part = nodes === 1 ? 1 : yes ? LEADER_PART : Math.min(LEADER_PART, FOLLOWERS_PART / (nodes - 1));
+    const { steady } = this.now;
+    this.storeCallsBucket.resize(store.rps * part, store.rps * part, steady);
+    this.storeWrites.resize(store.writeRps * part, Math.max(store.txnOps, store.writeRps * part), steady);
+  }
+
+  /** Whether the state service takes more writes than what must be written now needs. */
+  writesToSpare(): boolean {
+    return this.storeWrites.fullness(this.now.steady) > 0.5;
+  }
+
   log(level: LogLevel, text: string, fields: Record<string, unknown> = {}): void {
     this.outputs.push({ kind: 'log', level, text, fields });
   }
--- a/src/core/desk.ts
+++ b/src/core/desk.ts
@@ -1,9 +1,10 @@
 import type { Context } from './context.js';
-import type { StoredItem, UserAnswer, UserMood, UserRequest } from './messages.js';
+import type { UserAnswer, UserMood, UserRequest } from './messages.js';
+import type { JobMirror, MirroredJob } from './mirror.js';
 import { withinLimit } from './quotas.js';
 import { RangeSet } from './ranges.js';
-import { decodeJob, encodeJob, type JobRecord, jobKey } from './records.js';
-import { ABSENT, type JobId, type JobSpec, type MachineType, type TypeName } from './types.js';
+import { encodeJob, JOB_PREFIX, type JobRecord, jobKey } from './records.js';
+import { ABSENT, type JobId, type JobSpec, type MachineType, type Steady, steadyPlus, type TypeName } from './types.js';
 
 type Answer = (answer: UserAnswer) => void;
 
@@ -15,38 +16,112 @@
 }
 
 const BUSY: UserAnswer = { status: 503, problem: 'the state service does not answer', retryAfterS: 1 };
-const FINAL_KEPT = 50_000;
 const TRIES = 3;
+/** Polls that come within so many milliseconds are confirmed by one call. Users wait 2 s for an answer. */
+const GATHER_MS = 120;
+
+interface Poll {
+  readonly id: JobId;
+  readonly answer: Answer;
+  readonly failed: () => void;
+}
 
 /**
- * Users' requests, on every node. What is said of a job that isn't over always comes from a read of the store in that
- * request: another node may have cancelled or finished it a moment ago. Only final states are kept in memory.
+ * Users' requests, on every node. What is said of a job that isn't over is confirmed by the store in that request: another
+ * node may have cancelled or finished it a moment ago. The mirror spares most reads: one transaction that only compares
+ * the versions of many mirrored records, begun after their polls arrived, says as much as a read of each. Only final
+ * states, which never change, are told from the mirror itself.
  */
 export class Desk {
-  private readonly finals = new Map<JobId, { mood: 'done' | 'cancelled'; done: number }>();
+  private polls: Poll[] = [];
+  private confirming = 0;
 
   constructor(
     private readonly ctx: Context,
+    private readonly mirror: JobMirror,
     private readonly help: DeskHelp,
   ) {}
 
   /** `relayed`: it came from another node and isn't passed on again. */
   handle(request: UserRequest, answer: Answer, relayed = false): void {
-    const final = this.finals.get(request.id);
-    if (final) {
-      return answer({ status: 200, id: request.id, mood: final.mood, done: final.done, running: 0 });
-    }
+    const known = this.mirror.get(request.id);
+    if (known && known.record.state !== 'accepted') return answer(this.describe(known.record));
     // A call that brought nothing here may still work for a node that the state service hasn't shut out. Passing the
     // whole request on also settles an unknown outcome: there it is found carried out, or carried out now.
     const failed = (): void => {
       if (relayed || !this.help.relay(request, answer)) answer(BUSY);
     };
-    if (this.refusedLately() && !relayed && this.help.relay(request, answer)) return;
+    if (this.refusedLately()) {
+      if (!relayed && this.help.relay(request, answer)) return;
+      // Nothing here can be confirmed, and nobody else is there to ask: said at once, with when to come back.
+      if (this.shutOut()) return answer(BUSY);
+    }
     if (request.op === 'submit') this.submit(request.id, request.spec, request.problem, answer, failed);
-    else if (request.op === 'poll') this.read(request.id, answer, failed, this.notFound());
+    else if (request.op === 'poll') this.poll(request.id, answer, failed, this.notFound());
     else this.cancel(request.id, answer, failed, 0);
   }
 
+  /** A poll of a job that the mirror knows waits for the next confirmation, others are read. */
+  private poll(id: JobId, answer: Answer, failed: () => void, missing: UserAnswer): void {
+    if (!this.mirror.get(id)) return this.read(id, answer, failed, missing);
+    this.polls.push({ id, answer, failed });
+    if (this.ctx.timers.at('polls') === null) this.ctx.timers.set('polls', this.at(GATHER_MS));
+  }
+
+  private at(ms: number): Steady {
+    return steadyPlus(this.ctx.now.steady, ms);
+  }
+
+  /** Confirms what was gathered. */
+  confirm(): void {
+    if (this.polls.length === 0 || this.confirming > 1) return;
+    const most = 4 * this.ctx.settings.store.txnOps;
+    const asked = new Map<JobId, { seen: MirroredJob; polls: Poll[] }>();
+    const later: Poll[] = [];
+    for (const p of this.polls) {
+      const seen = this.mirror.get(p.id);
+      const entry = asked.get(p.id);
+      if (entry) entry.polls.push(p);
+      else if (!seen) this.read(p.id, p.answer, p.failed, this.notFound());
+      else if (seen.record.state !== 'accepted') p.answer(this.describe(seen.record));
+      else if (asked.size < most) asked.set(p.id, { seen, polls: [p] });
+      else later.push(p);
+    }
+    this.polls = later;
+    if (later.length > 0) this.ctx.timers.set('polls', this.at(1));
+    if (asked.size === 0) return;
+    this.confirming += 1;
+    const conditions = [...asked].map(([id, { seen }]) => ({ key: jobKey(id), version: seen.version }));
+    this.ctx.store(
+      { op: 'txn', conditions, changes: [] },
+      2,
+      (r) => {
+        this.confirming -= 1;
+        if (this.polls.length > 0 && this.ctx.timers.at('polls') === null) this.ctx.timers.set('polls', this.at(1));
+        const changed = new Set(r.ok ? [] : r.why === 'conflict' ? (r.keys ?? []) : []);
+        // A conflict that names nothing we asked for confirms nothing.
+        const named = [...changed].some((k) => asked.has(k.slice(JOB_PREFIX.length) as JobId));
+        for (const [id, { seen, polls }] of asked) {
+          for (const p of polls) {
+            if (r.ok) p.answer(this.describe(seen.record));
+            else if (r.why !== 'conflict') p.failed();
+            else if (!named || changed.has(jobKey(id))) this.read(id, p.answer, p.failed, this.notFound());
+            // The rest of a transaction that failed proves nothing by itself: they go with the next.
+            else this.poll(id, p.answer, p.failed, this.notFound());
+          }
+        }
+      },
+      1000,
+      600,
+    );
+  }
+
+  /** The state service has not answered for so long that asking again in each request helps nobody. */
+  private shutOut(): boolean {
+    const since = this.ctx.storeFailingSince;
+    return since !== null && this.ctx.now.steady - since > 1500;
+  }
+
   private refusedLately(): boolean {
     const since = this.ctx.storeFailingSince;
     return since !== null && this.ctx.now.steady - since > 300;
@@ -56,18 +131,9 @@
     return { status: 404, problem: 'no such job' };
   }
 
-  private keepFinal(id: JobId, mood: 'done' | 'cancelled', done: number): void {
-    if (this.finals.size >= FINAL_KEPT) {
-      const oldest = this.finals.keys().next();
-      if (!oldest.done) this.finals.delete(oldest.value);
-    }
-    this.finals.set(id, { mood, done });
-  }
-
   private describe(record: JobRecord): UserAnswer {
     const { id } = record.spec;
     if (record.state !== 'accepted') {
-      this.keepFinal(id, record.state, record.done.count);
       return { status: 200, id, mood: record.state, done: record.done.count, running: 0 };
     }
     const counts = this.help.counts(id);
@@ -76,21 +142,16 @@
     return { status: 200, id, mood, done: counts?.done ?? record.done.count, running: counts?.running ?? 0 };
   }
 
-  private fetch(
-    id: JobId,
-    then: (item: StoredItem, record: JobRecord) => void,
-    missing: () => void,
-    failed: () => void,
-  ): void {
+  private fetch(id: JobId, then: (seen: MirroredJob) => void, missing: () => void, failed: () => void): void {
     this.ctx.store(
       { op: 'get', key: jobKey(id) },
       2,
       (r) => {
         if (!r.ok) return failed();
         if (!r.value.item) return missing();
-        const record = decodeJob(r.value.item.value);
-        if (!record) return failed();
-        then(r.value.item, record);
+        const seen = this.mirror.take(r.value.item);
+        if (!seen) return failed();
+        then(seen);
       },
       1000,
       700,
@@ -100,7 +161,7 @@
   private read(id: JobId, answer: Answer, failed: () => void, missing: UserAnswer): void {
     this.fetch(
       id,
-      (_, record) => answer(this.describe(record)),
+      (seen) => answer(this.describe(seen.record)),
       () => answer(missing),
       failed,
     );
@@ -108,6 +169,8 @@
 
   private submit(id: JobId, spec: JobSpec | null, problem: string, answer: Answer, failed: () => void): void {
     if (!spec) return this.read(id, answer, failed, { status: 400, problem });
+    // A repeat of a submission that was taken.
+    if (this.mirror.get(id)) return this.poll(id, answer, failed, BUSY);
     const types = this.help.types();
     if (types.size === 0) {
       return this.read(id, answer, failed, {
@@ -126,15 +189,19 @@
       startZone: null,
       done: new RangeSet(),
     };
+    const value = encodeJob(record, 0);
     this.ctx.store(
       {
         op: 'txn',
         conditions: [{ key: jobKey(id), version: ABSENT }],
-        changes: [{ put: jobKey(id), value: encodeJob(record, 0) }],
+        changes: [{ put: jobKey(id), value }],
       },
       2,
       (r) => {
-        if (r.ok) return answer({ status: 201, id, mood: 'queued', done: 0, running: 0 });
+        if (r.ok) {
+          if (r.value.revision !== undefined) this.mirror.take({ key: jobKey(id), value, version: r.value.revision });
+          return answer({ status: 201, id, mood: 'queued', done: 0, running: 0 });
+        }
         if (r.why === 'conflict') return this.read(id, answer, failed, BUSY);
         // Unknown: it may have been written. The read tells; if it shows nothing the user asks again.
         if (r.why === 'unknown') return this.read(id, answer, failed, BUSY);
@@ -159,31 +226,30 @@
     return null;
   }
 
+  /** Tried first on the mirrored record: the condition on its version shows whether that is the present one. */
   private cancel(id: JobId, answer: Answer, failed: () => void, tries: number): void {
-    this.fetch(
-      id,
-      (item, record) => {
-        if (record.state !== 'accepted') return answer(this.describe(record));
-        const cancelled: JobRecord = { ...record, state: 'cancelled' };
-        this.ctx.store(
-          {
-            op: 'txn',
-            conditions: [{ key: jobKey(id), version: item.version }],
-            changes: [{ put: jobKey(id), value: encodeJob(cancelled, Number.POSITIVE_INFINITY) }],
-          },
-          2,
-          (r) => {
-            if (r.ok) return answer(this.describe(cancelled));
-            // Somebody wrote in between, or the outcome is unknown: look again.
-            if (r.why === 'refused' || tries + 1 >= TRIES) return failed();
-            this.cancel(id, answer, failed, tries + 1);
-          },
-          1000,
-          1000,
-        );
-      },
-      () => answer(this.notFound()),
-      failed,
-    );
+    const write = ({ record, version }: MirroredJob): void => {
+      if (record.state !== 'accepted') return answer(this.describe(record));
+      const cancelled: JobRecord = { ...record, state: 'cancelled' };
+      const value = encodeJob(cancelled, Number.POSITIVE_INFINITY);
+      this.ctx.store(
+        { op: 'txn', conditions: [{ key: jobKey(id), version }], changes: [{ put: jobKey(id), value }] },
+        2,
+        (r) => {
+          if (r.ok) {
+            if (r.value.revision !== undefined) this.mirror.take({ key: jobKey(id), value, version: r.value.revision });
+            return answer(this.describe(cancelled));
+          }
+          // Somebody wrote in between, or the outcome is unknown: look again.
+          if (r.why === 'refused' || tries + 1 >= TRIES) return failed();
+          this.cancel(id, answer, failed, tries + 1);
+        },
+        1000,
+        1000,
+      );
+    };
+    const known = this.mirror.get(id);
+    if (known && tries === 0) return write(known);
+    this.fetch(id, write, () => answer(this.notFound()), failed);
   }
 }
--- a/src/core/election.ts
+++ b/src/core/election.ts
@@ -14,6 +14,9 @@
 /** Clocks of different machines drift apart by up to 0.05 %; both ends may be off. */
 export const DRIFT = 0.001;
 
+/** The watch of the key is answered at least every 5 s while the state service is there. */
+const HOLDER_FRESH_MS = 6500;
+
 export interface Leadership {
   readonly token: Token;
   readonly term: number;
@@ -35,6 +38,7 @@
   holder: LeaderRecord | null = null;
   private validUntil = 0 as Steady;
   private readonly ttlMs: number;
+  private lookedAt = Number.NEGATIVE_INFINITY as Steady;
   private seenRevision: Revision = ABSENT;
   private busy = false;
   private renewing = false;
@@ -53,6 +57,11 @@
     return this.current !== null && this.ctx.now.steady < this.validUntil;
   }
 
+  /** Whether what is known of the holder is fresh: the store answered the last time it was asked, not long ago. */
+  knowsHolder(): boolean {
+    return this.holder !== null && this.ctx.now.steady - this.lookedAt < HOLDER_FRESH_MS;
+  }
+
   holderName(): NodeName | null {
     return this.holder ? (this.holder.node as NodeName) : null;
   }
@@ -96,6 +105,7 @@
     this.busy = true;
     this.ctx.store({ op: 'get', key: LEADER_KEY }, 0, (r) => {
       if (!r.ok) return this.retry(300);
+      this.lookedAt = this.ctx.now.steady;
       const item = r.value.item ?? null;
       if (r.value.revision !== undefined && r.value.revision > this.seenRevision) this.seenRevision = r.value.revision;
       if (item === null) {
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -35,20 +35,34 @@
 
 /** After so many report periods without a word a machine gets no new work. */
 export const QUIET_REPORTS = 2.5;
+/** What we say wasn't heeded so often in a row: hearing a machine doesn't mean reaching it. */
+export const DEAF_AFTER = 2;
 
 export class Machine {
   addr: string;
   phase: 'booting' | 'up' | 'leaving';
   /** Known to the store: before that, no command goes to it. */
   registered = false;
-  registering = false;
   /** False while it may hold tasks we don't know of: it was registered by an earlier leader and hasn't shown us its list. */
   accounted: boolean;
   session: Session | null = null;
   seq: Seq | null = null;
   /** Highest token the worker has shown. */
   tokenSeen = 0n;
-  lastHeardAt: Steady;
+  /** The last sign of life: a report newer than any before, or an answer to a direct command. */
+  heardAt: Steady;
+  /** The last report that was answered and may have renewed its lease: until when its tasks may be there. */
+  answeredAt: Steady;
+  /** The newest report of the present session; answers to direct commands are numbered in the same row. */
+  beatSeq: Seq | null = null;
+  /** Known only from a list or a report that may be a late copy, until it shows that what we say reaches it. */
+  proven: boolean;
+  /** Reports answered in this term that still carried an earlier leader's token. */
+  oldTokenAnswers = 0;
+  /** How often in a row what we told it was not heeded; from DEAF_AFTER on it is set aside. */
+  unheeded = 0;
+  deafSince: Steady | null = null;
+  probeAt = 0 as Steady;
   firstHeardAt: Steady | null = null;
   rentedAt: Steady;
   noticeUntil: Steady | null = null;
@@ -70,8 +84,8 @@
   readonly images = new Map<ImageName, CachedImage>();
   /** How fast it fetches, against its type's nominal rate, as seen so far. */
   fetchSpeed = 1;
-  /** The images the store is known to list for it, as text. */
-  recordedImages = '';
+  /** Which images it holds has changed since they were last written down. */
+  imagesChanged = false;
   usedCpus = 0;
   usedGpus = 0;
   usedMem = 0;
@@ -89,11 +103,22 @@
     this.addr = addr;
     this.accounted = accounted;
     this.phase = phase;
-    this.lastHeardAt = now;
+    this.heardAt = now;
+    this.answeredAt = now;
+    this.proven = accounted && phase === 'booting';
     this.rentedAt = now;
     this.idleSince = now;
   }
 
+  /** Something we said has reached it. Returns whether it had been set aside as deaf. */
+  reached(): boolean {
+    this.unheeded = 0;
+    this.proven = true;
+    const was = this.deafSince !== null;
+    this.deafSince = null;
+    return was;
+  }
+
   get typeName(): TypeName {
     return this.type.name;
   }
@@ -102,8 +127,10 @@
   usable(now: Steady, reportMs: number): boolean {
     return (
       this.phase === 'up' &&
-      now - this.lastHeardAt < QUIET_REPORTS * reportMs &&
+      now - this.heardAt < QUIET_REPORTS * reportMs &&
       this.accounted &&
+      this.proven &&
+      this.deafSince === null &&
       this.draining === null &&
       this.noticeUntil === null &&
       !this.deleting &&
@@ -160,9 +187,14 @@
     }
     if (cached) {
       if (cached.fetchingSince !== null && cached.whole) this.learnFetch(imageGb, (now - cached.fetchingSince) / 1000);
+      if (cached.fetchingSince !== null) this.imagesChanged = true;
       cached.fetchingSince = null;
       cached.lastUse = now;
-    } else this.images.set(image, { gb: imageGb, lastUse: now, fetchingSince: null, whole: false });
+      if (!this.imagesChanged) return;
+    } else {
+      this.images.set(image, { gb: imageGb, lastUse: now, fetchingSince: null, whole: false });
+      this.imagesChanged = true;
+    }
     this.evict();
   }
 
@@ -175,16 +207,14 @@
     this.fetchSpeed = Math.min(1.6, Math.max(0.5, 0.4 * this.fetchSpeed + 0.6 * speed));
   }
 
-  /** The images it holds, as they stand in the store: a new leader need not find out again. */
-  cachedImages(): [string, number][] {
-    return [...this.images].filter(([, c]) => c.fetchingSince === null).map(([name, c]) => [name, c.gb]);
+  /** The images it holds, those used last at the end. */
+  cachedImages(): ImageName[] {
+    const held = [...this.images].filter(([, c]) => c.fetchingSince === null);
+    return held.sort((a, b) => a[1].lastUse - b[1].lastUse).map(([name]) => name);
   }
 
-  restoreImages(images: readonly (readonly [string, number])[], speed: number, now: Steady): void {
-    for (const [name, gb] of images) {
-      this.images.set(name as ImageName, { gb, lastUse: now, fetchingSince: null, whole: false });
-    }
-    this.fetchSpeed = speed;
+  restoreImage(name: ImageName, gb: number, now: Steady): void {
+    if (!this.images.has(name)) this.images.set(name, { gb, lastUse: now, fetchingSince: null, whole: false });
   }
 
   /** A fetch is given up once no task waits for it. */
--- /dev/null
+++ b/src/core/ledger.ts
@@ -0,0 +1,228 @@
+import type { Cluster } from './cluster.js';
+import type { Context } from './context.js';
+import { type Leadership, leaderCondition } from './election.js';
+import type { Machine } from './fleet.js';
+import type { Job } from './jobs.js';
+import type { Change, Condition, StoredItem } from './messages.js';
+import { RangeSet } from './ranges.js';
+import { encodeJob, type JobState, jobKey, pageKey } from './records.js';
+import type { Page, Registry } from './registry.js';
+import { ABSENT, type Revision, type Steady, steadyPlus } from './types.js';
+
+const LAZY_WRITE_MS = 4000;
+const TXN_BYTES = 48_000;
+const JOB_BYTES = 700;
+const GATHER_MS = 30;
+
+interface JobSnapshot {
+  readonly job: Job;
+  readonly state: JobState;
+  readonly startTerm: number;
+  readonly done: [number, number][];
+}
+
+interface PageSnapshot {
+  readonly page: Page;
+  readonly machines: readonly Machine[];
+}
+
+interface Batch {
+  readonly conditions: Condition[];
+  readonly changes: Change[];
+  readonly jobs: JobSnapshot[];
+  readonly pages: PageSnapshot[];
+  bytes: number;
+  urgent: boolean;
+}
+
+export interface LedgerHelp {
+  valid(): boolean;
+  /** A record as the store was found to hold it. */
+  learn(item: StoredItem): void;
+  /** Something that others may wait for is now on record. */
+  onWritten(): void;
+}
+
+/**
+ * What the leader writes: many changes to a transaction, what others wait for first. Every transaction depends on the
+ * leader key and on each changed key's version, so one that is carried out late changes nothing.
+ */
+export class Ledger {
+  private readonly ctx: Context;
+  private inFlight = 0;
+  private stopped = false;
+
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly leadership: Leadership,
+    private readonly registry: Registry,
+    private readonly help: LedgerHelp,
+  ) {
+    this.ctx = cluster.ctx;
+  }
+
+  get busy(): boolean {
+    return this.inFlight > 0;
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  register(m: Machine): void {
+    this.registry.add(m);
+    this.soon();
+  }
+
+  drop(m: Machine): void {
+    this.registry.drop(m.id);
+    this.soon();
+  }
+
+  /** Completions come in crowds: a moment's gathering puts them into one transaction. */
+  soon(): void {
+    const at = this.ctx.timers.at('flush');
+    const mine = steadyPlus(this.ctx.now.steady, GATHER_MS);
+    if (at === null || at > mine) this.ctx.timers.set('flush', mine);
+  }
+
+  flush(): void {
+    if (this.stopped || !this.help.valid()) return;
+    const now = this.ctx.now.steady;
+    const spare = this.ctx.writesToSpare();
+    const jobs = this.dueJobs(now, spare);
+    for (const page of this.registry.lostPages()) this.findPage(page);
+    const pages = this.registry.due(now, spare);
+    while (jobs.length > 0 || pages.length > 0) {
+      const batch: Batch = {
+        conditions: [leaderCondition(this.leadership)],
+        changes: [],
+        jobs: [],
+        pages: [],
+        bytes: 0,
+        urgent: false,
+      };
+      while (pages[0]?.urgent && this.fits(batch)) this.addPage(batch, pages.shift() as Page);
+      while (jobs.length > 0 && this.fits(batch)) this.addJob(batch, jobs.shift() as Job, now);
+      while (pages.length > 0 && this.fits(batch)) this.addPage(batch, pages.shift() as Page);
+      if (batch.changes.length === 0) break;
+      this.send(batch);
+    }
+  }
+
+  private dueJobs(now: Steady, spare: boolean): Job[] {
+    const due: Job[] = [];
+    const lazy = spare ? LAZY_WRITE_MS : 4 * LAZY_WRITE_MS;
+    for (const job of this.cluster.active) {
+      const need = job.needsWrite;
+      if (need === 'no') {
+        if (job.state !== 'accepted' && job.placements.size === 0) this.cluster.active.delete(job);
+        continue;
+      }
+      if (job.writing || (need === 'soon' && now - job.lastWriteAt < lazy)) continue;
+      due.push(job);
+    }
+    return due.sort((a, b) => Number(b.needsWrite === 'now') - Number(a.needsWrite === 'now'));
+  }
+
+  private fits(batch: Batch): boolean {
+    return batch.changes.length < this.ctx.settings.store.txnOps && batch.bytes < TXN_BYTES;
+  }
+
+  private addPage(batch: Batch, page: Page): void {
+    const { change, bytes, machines } = this.registry.change(page);
+    page.writing = true;
+    page.writtenAt = this.ctx.now.steady;
+    if (page.urgent) batch.urgent = true;
+    page.urgent = false;
+    page.shrunk = false;
+    page.hints = false;
+    for (const m of machines) m.imagesChanged = false;
+    batch.bytes += bytes;
+    batch.pages.push({ page, machines });
+    batch.conditions.push({ key: pageKey(page.no), version: page.version });
+    batch.changes.push(change);
+  }
+
+  private addJob(batch: Batch, job: Job, now: Steady): void {
+    const most = Math.max(4, Math.floor((this.ctx.settings.store.valueBytes - 2000) / 16));
+    const done = job.done.pairs(most);
+    if (job.needsWrite === 'now') batch.urgent = true;
+    job.writing = true;
+    job.lastWriteAt = now;
+    const { spec, submittedAt, state, startTerm, startZone } = job;
+    batch.bytes += JOB_BYTES + done.length * 14;
+    batch.jobs.push({ job, state, startTerm, done });
+    batch.conditions.push({ key: jobKey(job.id), version: job.version });
+    const value = encodeJob({ spec, submittedAt, state, startTerm, startZone, done: job.done }, most);
+    batch.changes.push({ put: jobKey(job.id), value });
+  }
+
+  private send(batch: Batch): void {
+    const { conditions, changes, jobs, pages } = batch;
+    this.inFlight += 1;
+    this.ctx.store({ op: 'txn', conditions, changes }, batch.urgent ? 1 : 3, (r) => {
+      this.inFlight -= 1;
+      for (const s of jobs) s.job.writing = false;
+      for (const s of pages) s.page.writing = false;
+      if (this.stopped) return;
+      if (r.ok && r.value.revision !== undefined) {
+        for (const s of jobs) this.written(s, r.value.revision);
+        for (const s of pages) this.pageWritten(s, r.value.revision);
+      } else {
+        const unclear = r.ok || r.why !== 'refused';
+        for (const { page } of pages) {
+          page.urgent = true;
+          page.lost = unclear;
+        }
+        if (unclear) for (const s of jobs) this.refresh(s.job);
+        this.ctx.timers.set('flush', steadyPlus(this.ctx.now.steady, 150));
+      }
+      this.help.onWritten();
+    });
+  }
+
+  private written(s: JobSnapshot, version: Revision): void {
+    const { job } = s;
+    if (version > job.version) {
+      job.version = version;
+      job.durableState = s.state;
+      job.durableStartTerm = s.startTerm;
+      job.durableDone = RangeSet.from(s.done);
+    }
+    if (job.needsWrite === 'no' && job.state !== 'accepted' && job.placements.size === 0)
+      this.cluster.active.delete(job);
+    if (job.needsWrite === 'now') this.soon();
+  }
+
+  private pageWritten(s: PageSnapshot, version: Revision): void {
+    if (version > s.page.version) s.page.version = version;
+    for (const m of s.machines) if (s.page.machines.has(m)) m.registered = true;
+    if (s.page.urgent || s.page.shrunk) this.soon();
+  }
+
+  /** A write failed or has an unknown outcome: the store tells what holds now. */
+  private refresh(job: Job): void {
+    job.writing = true;
+    this.ctx.store({ op: 'get', key: jobKey(job.id) }, 1, (r) => {
+      job.writing = false;
+      if (this.stopped || !r.ok || !r.value.item) return;
+      this.help.learn(r.value.item);
+      this.soon();
+    });
+  }
+
+  /** Only the version matters: the page is written anew, on the condition that nothing has come in between. */
+  private findPage(page: Page): void {
+    page.writing = true;
+    this.ctx.store({ op: 'get', key: pageKey(page.no) }, 1, (r) => {
+      page.writing = false;
+      if (this.stopped) return;
+      if (r.ok) {
+        page.version = r.value.item ? r.value.item.version : ABSENT;
+        page.lost = false;
+      }
+      this.ctx.timers.set('flush', steadyPlus(this.ctx.now.steady, r.ok ? 1 : 200));
+    });
+  }
+}
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -30,7 +30,10 @@
   /** The service called the request malformed. */
   | 'rejected';
 
-export type Result<T> = { readonly ok: true; readonly value: T } | { readonly ok: false; readonly why: Failure };
+export type Result<T> =
+  | { readonly ok: true; readonly value: T }
+  /** `keys`: of a conflict, those that did not have the version asked for. */
+  | { readonly ok: false; readonly why: Failure; readonly keys?: readonly string[] };
 
 export interface StoredItem {
   readonly key: string;
@@ -131,12 +134,17 @@
   readonly storeOk: boolean;
   /** Milliseconds since a worker last reached the sender; negative: never. */
   readonly workersHeardMs: number;
+  /** Workers' reports a second that reach the sender itself. */
+  readonly beatsPerS: number;
 }
 
 export type PeerMessage =
   | { readonly kind: 'status'; readonly status: PeerStatus }
   | { readonly kind: 'relay'; readonly id: number; readonly request: UserRequest }
-  | { readonly kind: 'relayed'; readonly id: number; readonly answer: UserAnswer };
+  | { readonly kind: 'relayed'; readonly id: number; readonly answer: UserAnswer }
+  /** A worker's report that reached a node that doesn't lead, passed on as it came; and the leader's answer to it. */
+  | { readonly kind: 'beat'; readonly id: number; readonly report: WorkerReport }
+  | { readonly kind: 'beaten'; readonly id: number; readonly machine: MachineId; readonly answer: WorkerAnswer };
 
 export type RequestId = number;
 export type CallId = number;
--- /dev/null
+++ b/src/core/mirror.ts
@@ -0,0 +1,157 @@
+import type { Context } from './context.js';
+import type { StoredItem, StoreEvent } from './messages.js';
+import { decodeJob, JOB_PREFIX, type JobRecord } from './records.js';
+import type { JobId, Revision, Steady } from './types.js';
+
+const WATCH_MS = 4000;
+const PAGE = 500;
+/** How long after one answer of the watch the next is asked for: each costs a call, and brings all that came meanwhile. */
+const PACE_LEADING_MS = 120;
+const PACE_MS = 800;
+
+export interface MirroredJob {
+  readonly record: JobRecord;
+  readonly version: Revision;
+}
+
+/**
+ * A node's copy of the job records, kept up by a watch. It may lag, so nothing that isn't final is told from it alone: it
+ * spares the reads, as one compare-only transaction then confirms many records at once (desk.ts).
+ */
+export class JobMirror {
+  private readonly jobs = new Map<JobId, MirroredJob>();
+  private watchFrom: Revision | null = null;
+  private reading = false;
+  private again = false;
+  private waitingForAll: ((ok: boolean) => void)[] = [];
+  private watching = false;
+  private leading = false;
+  /** When the last answered watch was sent: what happened before is known. */
+  freshAt: Steady;
+  /** Told of each record that is newer than what was known. */
+  onRecord: (item: MirroredJob) => void = () => {};
+
+  constructor(private readonly ctx: Context) {
+    this.freshAt = ctx.now.steady;
+  }
+
+  get(id: JobId): MirroredJob | undefined {
+    return this.jobs.get(id);
+  }
+
+  all(): Iterable<MirroredJob> {
+    return this.jobs.values();
+  }
+
+  get size(): number {
+    return this.jobs.size;
+  }
+
+  setLeading(yes: boolean): void {
+    this.leading = yes;
+  }
+
+  /** Reads everything anew, beginning after this moment; `then` hears once that is done or has failed. */
+  read(then: (ok: boolean) => void = () => {}): void {
+    this.waitingForAll.push(then);
+    // A reading under way may have begun too early for this caller.
+    if (this.reading) this.again = true;
+    else this.readAll();
+  }
+
+  onTimer(): void {
+    if (this.watchFrom === null) {
+      if (!this.reading) this.readAll();
+    } else this.watch();
+  }
+
+  private readAll(): void {
+    this.reading = true;
+    this.again = false;
+    const sentAt = this.ctx.now.steady;
+    let first: Revision | null = null;
+    const items: StoredItem[] = [];
+    const page = (after: string | null): void => {
+      this.ctx.store({ op: 'list', prefix: JOB_PREFIX, after, limit: PAGE }, 1, (r) => {
+        if (!r.ok) return this.readDone(false);
+        items.push(...(r.value.items ?? []));
+        // Changes made while later pages are read come again through the watch.
+        first ??= r.value.revision ?? null;
+        const last = items[items.length - 1];
+        if (r.value.more && last) return page(last.key);
+        for (const item of items) this.take(item);
+        if (first !== null && (this.watchFrom === null || first > this.watchFrom)) this.watchFrom = first;
+        if (sentAt > this.freshAt) this.freshAt = sentAt;
+        this.readDone(true);
+      });
+    };
+    page(null);
+  }
+
+  private readDone(ok: boolean): void {
+    this.reading = false;
+    if (this.again) return this.readAll();
+    const waiting = this.waitingForAll;
+    this.waitingForAll = [];
+    for (const w of waiting) w(ok);
+    this.next(ok ? 1 : 300);
+  }
+
+  private next(ms: number): void {
+    if (this.watching && this.watchFrom !== null) return;
+    this.ctx.timers.set('mirror', (this.ctx.now.steady + ms) as Steady);
+  }
+
+  private watch(): void {
+    if (this.watching || this.watchFrom === null) return;
+    this.watching = true;
+    let sentAt = this.ctx.now.steady;
+    this.ctx.store(
+      { op: 'watch', prefix: JOB_PREFIX, after: this.watchFrom, waitMs: WATCH_MS },
+      1,
+      (r) => {
+        this.watching = false;
+        if (!r.ok) {
+          if (r.why === 'gone') {
+            // Too far behind the store's changes: all is read again, as often as it takes.
+            this.watchFrom = null;
+            if (!this.reading) this.readAll();
+            return;
+          }
+          return this.next(250);
+        }
+        if (sentAt > this.freshAt) this.freshAt = sentAt;
+        for (const e of r.value.events ?? []) this.takeEvent(e);
+        const { revision } = r.value;
+        if (revision !== undefined && this.watchFrom !== null && revision > this.watchFrom) this.watchFrom = revision;
+        this.next(this.leading ? PACE_LEADING_MS : PACE_MS);
+      },
+      WATCH_MS + 2000,
+      5000,
+      (at) => {
+        sentAt = at;
+      },
+    );
+  }
+
+  private takeEvent(e: StoreEvent): void {
+    if ('drop' in e) return;
+    this.take({ key: e.put, value: e.value, version: e.version });
+  }
+
+  /** A record as the store holds or held it; older ones than known are passed over. */
+  take(item: StoredItem): MirroredJob | null {
+    const id = item.key.slice(JOB_PREFIX.length) as JobId;
+    const known = this.jobs.get(id);
+    if (known && known.version >= item.version) return known;
+    const record = decodeJob(item.value);
+    if (!record) {
+      this.ctx.log('error', 'job record not understood', { key: item.key });
+      return null;
+    }
+    const entry = { record, version: item.version };
+    this.jobs.set(id, entry);
+    this.onRecord(entry);
+    return entry;
+  }
+}
--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -2,19 +2,53 @@
 import { Desk } from './desk.js';
 import { Election } from './election.js';
 import { Leader } from './leader.js';
-import type { Input, Output, PeerMessage, PeerStatus, UserAnswer, UserRequest } from './messages.js';
+import type {
+  Input,
+  Output,
+  PeerMessage,
+  PeerStatus,
+  RequestId,
+  UserAnswer,
+  UserRequest,
+  WorkerAnswer,
+} from './messages.js';
+import { JobMirror } from './mirror.js';
 import type { Settings, Tuning } from './settings.js';
-import { type MachineType, type NodeName, type Now, type Steady, steadyPlus, type TypeName } from './types.js';
+import {
+  type MachineId,
+  type MachineType,
+  type NodeName,
+  type Now,
+  type Steady,
+  steadyPlus,
+  type TypeName,
+  type WorkerReport,
+} from './types.js';
 
 const STATUS_MS = 1000;
 const PEER_FRESH_MS = 3500;
 const RELAY_MS = 1200;
+/** A report passed on to the leader is given up after this; workers wait 4 s, and the leader holds idle ones for 2.5 s. */
+const FORWARD_MS = 3200;
+/** Only a leader that was heard of this lately is passed reports, or named to workers without the store's word. */
+const LINK_FRESH_MS = 2500;
+/** The leader leaves workers' connections to the others, down to this part of their mean load. */
+const LEADER_BEATS = 0.4;
 const CATALOG_RETRY_MS = 700;
 const CATALOG_FRESH_MS = 60_000;
 
 interface Peer {
   status: PeerStatus;
   heardAt: Steady;
+  /** It gave no answer to a report passed on: others aren't for a while. */
+  silentUntil: Steady;
+}
+
+interface PendingBeat {
+  readonly to: NodeName;
+  readonly machine: MachineId;
+  readonly answer: (a: WorkerAnswer) => void;
+  readonly until: Steady;
 }
 
 interface PendingRelay {
@@ -27,11 +61,17 @@
   readonly ctx: Context;
   private readonly election: Election;
   private readonly desk: Desk;
+  private readonly mirror: JobMirror;
   private leader: Leader | null = null;
   private types: ReadonlyMap<TypeName, MachineType> = new Map();
   private readonly peers = new Map<NodeName, Peer>();
   private readonly relays = new Map<number, PendingRelay>();
+  private readonly beats = new Map<number, PendingBeat>();
   private lastRelay = 0;
+  private beatsCounted = 0;
+  private beatsSince: Steady;
+  private beatsPerS = 0;
+  private sheds = 0;
   private workersHeardAt: Steady | null = null;
   private ledSince: Steady;
 
@@ -44,18 +84,28 @@
   ) {
     this.ctx = new Context(settings, tuning, start);
     this.ledSince = start.steady;
+    this.beatsSince = start.steady;
+    // Peers may still answer what an earlier process of this node asked: its numbers must not come again.
+    this.lastRelay = (seed >>> 0) * 2 ** 20;
+    this.mirror = new JobMirror(this.ctx);
+    this.mirror.onRecord = (seen) => this.leader?.onRecord(seen);
     this.election = new Election(this.ctx, incarnation, {
       onElected: (leadership) => {
         this.ledSince = this.ctx.now.steady;
-        this.leader = new Leader(this.ctx, this.election, leadership, this.types, this.seed);
+        this.ctx.leading(true);
+        this.mirror.setLeading(true);
+        this.leader = new Leader(this.ctx, this.election, this.mirror, leadership, this.types, this.seed);
         this.sendStatus();
       },
       onLost: () => {
         this.leader?.stop();
         this.leader = null;
+        this.ctx.leading(false);
+        this.mirror.setLeading(false);
+        this.sendStatus();
       },
     });
-    this.desk = new Desk(this.ctx, {
+    this.desk = new Desk(this.ctx, this.mirror, {
       types: () => this.types,
       counts: (id) => this.leader?.counts(id) ?? null,
       relay: (request, answer) => this.relay(request, answer),
@@ -88,6 +138,7 @@
       case 'start':
         this.election.start();
         this.readCatalog();
+        this.mirror.read();
         this.ctx.timers.set('status', this.at(100));
         break;
       case 'timer':
@@ -96,13 +147,7 @@
         this.desk.handle(input.request, (answer) => this.ctx.answerUser(input.req, answer));
         break;
       case 'beat':
-        this.workersHeardAt = this.ctx.now.steady;
-        if (this.leader) this.leader.onBeat(input.req, input.report);
-        else {
-          const holder = this.election.holderName();
-          const reportTo = holder === this.ctx.settings.node ? null : holder;
-          this.ctx.answerWorker(input.req, reportTo ? { status: 421, reportTo } : { status: 503 });
-        }
+        this.onBeat(input.req, input.report);
         break;
       case 'storeReply':
         this.ctx.onStoreReply(input.call, input.result);
@@ -153,8 +198,11 @@
         case 'direct':
           this.leader?.sendDirect();
           break;
-        case 'watch':
-          this.leader?.watch();
+        case 'mirror':
+          this.mirror.onTimer();
+          break;
+        case 'polls':
+          this.desk.confirm();
           break;
         case 'load':
           this.leader?.load();
@@ -179,6 +227,66 @@
     });
   }
 
+  // ---- workers
+
+  /**
+   * Any node takes reports: a leader's own sockets are too dear for all of them. One that doesn't lead passes them on as
+   * they are and hands back the leader's answer, which the leader gave while it was entitled to.
+   */
+  private onBeat(req: RequestId, report: WorkerReport): void {
+    const { steady } = this.ctx.now;
+    const answer = (a: WorkerAnswer): void => this.ctx.answerWorker(req, a);
+    this.workersHeardAt = steady;
+    this.beatsCounted += 1;
+    if (this.leader) {
+      const other = this.shedTo();
+      if (other !== null) return answer({ status: 421, reportTo: other });
+      return this.leader.onBeat(report, answer);
+    }
+    const holder = this.election.holderName();
+    if (holder === null || holder === this.ctx.settings.node) return answer({ status: 503 });
+    const peer = this.peers.get(holder);
+    if (peer?.status.leading && steady - peer.heardAt < LINK_FRESH_MS && peer.silentUntil <= steady) {
+      const id = ++this.lastRelay;
+      this.beats.set(id, { to: holder, machine: report.machine, answer, until: this.at(FORWARD_MS) });
+      this.ctx.peer(holder, { kind: 'beat', id, report });
+      return;
+    }
+    // The way to the leader may be open to the worker: but only one known to lead now is named, so that no worker is
+    // kept going round.
+    answer(this.election.knowsHolder() ? { status: 421, reportTo: holder } : { status: 503 });
+  }
+
+  /** A node to which the leader sends a worker, to have its own share of the core for what only it can do. */
+  private shedTo(): NodeName | null {
+    const { steady } = this.ctx.now;
+    let best: { name: NodeName; peer: Peer } | null = null;
+    let sum = 0;
+    let n = 0;
+    for (const [name, peer] of this.peers) {
+      if (steady - peer.heardAt > LINK_FRESH_MS || peer.status.workersHeardMs < 0 || !peer.status.storeOk) continue;
+      n += 1;
+      sum += peer.status.beatsPerS;
+      if (best === null || peer.status.beatsPerS < best.peer.status.beatsPerS) best = { name, peer };
+    }
+    if (best === null || this.beatsPerS < 4 || this.beatsPerS < LEADER_BEATS * (sum / n) + 1) return null;
+    // Some at a time: the rates are a second old.
+    this.sheds += 1;
+    return this.sheds % 4 === 0 ? best.name : null;
+  }
+
+  private giveUpBeats(): void {
+    const { steady } = this.ctx.now;
+    const holder = this.election.holderName();
+    for (const [id, b] of this.beats) {
+      if (b.until > steady && b.to === holder) continue;
+      this.beats.delete(id);
+      const peer = this.peers.get(b.to);
+      if (peer && b.until <= steady) peer.silentUntil = this.at(FORWARD_MS);
+      b.answer({ status: 503 });
+    }
+  }
+
   // ---- peers
 
   private onStatusTimer(): void {
@@ -189,15 +297,23 @@
       this.relays.delete(id);
       pending.answer({ status: 503, problem: 'no node could take the request', retryAfterS: 1 });
     }
+    this.giveUpBeats();
     this.yieldIfCutOff();
   }
 
   private sendStatus(): void {
     const heard = this.workersHeardAt;
+    const seconds = (this.ctx.now.steady - this.beatsSince) / 1000;
+    if (seconds >= 0.9) {
+      this.beatsPerS = 0.5 * this.beatsPerS + 0.5 * (this.beatsCounted / seconds);
+      this.beatsCounted = 0;
+      this.beatsSince = this.ctx.now.steady;
+    }
     const status: PeerStatus = {
       leading: this.election.valid(),
       storeOk: this.ctx.storeFailingSince === null,
       workersHeardMs: heard === null ? -1 : Math.round(this.ctx.now.steady - heard),
+      beatsPerS: this.beatsPerS,
     };
     for (const p of this.ctx.settings.peers) this.ctx.peer(p.name, { kind: 'status', status });
   }
@@ -218,19 +334,42 @@
   }
 
   private onPeer(from: NodeName, message: PeerMessage): void {
-    if (message.kind === 'status') {
-      this.peers.set(from, { status: message.status, heardAt: this.ctx.now.steady });
-    } else if (message.kind === 'relay') {
-      this.desk.handle(
-        message.request,
-        (answer) => this.ctx.peer(from, { kind: 'relayed', id: message.id, answer }),
-        true,
-      );
-    } else {
-      const pending = this.relays.get(message.id);
-      if (!pending) return;
-      this.relays.delete(message.id);
-      pending.answer(message.answer);
+    switch (message.kind) {
+      case 'status': {
+        const silentUntil = this.peers.get(from)?.silentUntil ?? this.ctx.now.steady;
+        this.peers.set(from, { status: message.status, heardAt: this.ctx.now.steady, silentUntil });
+        break;
+      }
+      case 'relay':
+        this.desk.handle(
+          message.request,
+          (answer) => this.ctx.peer(from, { kind: 'relayed', id: message.id, answer }),
+          true,
+        );
+        break;
+      case 'relayed': {
+        const pending = this.relays.get(message.id);
+        this.relays.delete(message.id);
+        pending?.answer(message.answer);
+        break;
+      }
+      case 'beat': {
+        const { id, report } = message;
+        const answer = (a: WorkerAnswer): void =>
+          this.ctx.peer(from, { kind: 'beaten', id, machine: report.machine, answer: a });
+        if (!this.leader) return answer({ status: 503 });
+        this.workersHeardAt = this.ctx.now.steady;
+        this.leader.onBeat(report, answer);
+        break;
+      }
+      case 'beaten': {
+        const pending = this.beats.get(message.id);
+        // An answer meant for another machine must never reach this one: its starts would run twice.
+        if (pending?.to !== from || pending.machine !== message.machine) return;
+        this.beats.delete(message.id);
+        pending.answer(message.answer);
+        break;
+      }
     }
   }
 
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -1,5 +1,5 @@
 import { RangeSet } from './ranges.js';
-import type { JobId, JobSpec, MachineId, TypeName, Wall, ZoneName } from './types.js';
+import type { ImageName, JobId, JobSpec, MachineId, TypeName, Wall, ZoneName } from './types.js';
 
 /** What the state service holds. Nothing else survives a process. */
 export const LEADER_KEY = 'leader';
@@ -7,7 +7,7 @@
 export const JOB_PREFIX = 'j/';
 export const MACHINE_PREFIX = 'm/';
 export const jobKey = (id: JobId): string => JOB_PREFIX + id;
-export const machineKey = (id: MachineId): string => MACHINE_PREFIX + id;
+export const pageKey = (no: number): string => MACHINE_PREFIX + no;
 
 export type JobState = 'accepted' | 'done' | 'cancelled';
 
@@ -28,7 +28,7 @@
   readonly zone: ZoneName;
   readonly spot: boolean;
   /** Images it is known to hold, and how fast it fetches: hints that save a new leader from finding out again. */
-  readonly images: readonly (readonly [string, number])[];
+  readonly images: readonly ImageName[];
   readonly fetchSpeed: number;
 }
 
@@ -39,9 +39,6 @@
   readonly term: number;
 }
 
-/** Bounds a machine's record well below the store's limit for a value. */
-const IMAGES_KEPT = 40;
-
 type Fields = Record<string, unknown>;
 const isFields = (v: unknown): v is Fields => typeof v === 'object' && v !== null && !Array.isArray(v);
 
@@ -72,29 +69,41 @@
   };
 }
 
-export function encodeMachine(m: MachineRecord): Fields {
+/** A page of the registry: each machine as a short list, since a page holds many. */
+export function encodePage(machines: readonly MachineRecord[], mostImages: number): Fields {
   return {
-    v: 1,
-    addr: m.addr,
-    type: m.type,
-    zone: m.zone,
-    spot: m.spot,
-    images: m.images.slice(0, IMAGES_KEPT),
-    speed: m.fetchSpeed,
+    v: 2,
+    machines: machines.map((m) => [
+      m.id,
+      m.addr,
+      m.type,
+      m.zone,
+      m.spot ? 1 : 0,
+      Math.round(m.fetchSpeed * 100) / 100,
+      mostImages > 0 ? m.images.slice(-mostImages) : [],
+    ]),
   };
 }
 
-export function decodeMachine(key: string, value: unknown): MachineRecord | null {
-  if (!isFields(value) || value.v !== 1) return null;
-  return {
-    id: key.slice(MACHINE_PREFIX.length) as MachineId,
-    addr: String(value.addr ?? ''),
-    type: String(value.type) as TypeName,
-    zone: String(value.zone) as ZoneName,
-    spot: value.spot === true,
-    images: Array.isArray(value.images) ? (value.images as [string, number][]) : [],
-    fetchSpeed: typeof value.speed === 'number' && value.speed > 0 ? value.speed : 1,
-  };
+/** Null for a value that isn't a page. */
+export function decodePage(value: unknown): MachineRecord[] | null {
+  if (!isFields(value) || value.v !== 2 || !Array.isArray(value.machines)) return null;
+  const found: MachineRecord[] = [];
+  for (const raw of value.machines as unknown[]) {
+    if (!Array.isArray(raw)) continue;
+    const [id, addr, type, zone, spot, speed, images] = raw as unknown[];
+    if (typeof id !== 'string' || id === '') continue;
+    found.push({
+      id: id as MachineId,
+      addr: String(addr ?? ''),
+      type: String(type) as TypeName,
+      zone: String(zone) as ZoneName,
+      spot: spot === 1,
+      images: Array.isArray(images) ? (images as ImageName[]) : [],
+      fetchSpeed: typeof speed === 'number' && speed > 0 ? speed : 1,
+    });
+  }
+  return found;
 }
 
 export function decodeLeader(value: unknown): LeaderRecord | null {
--- /dev/null
+++ b/src/core/registry.ts
@@ -0,0 +1,144 @@
+import type { Machine } from './fleet.js';
+import type { Change, StoredItem } from './messages.js';
+import { decodePage, encodePage, MACHINE_PREFIX, type MachineRecord, pageKey } from './records.js';
+import { ABSENT, type MachineId, type Revision, type Steady } from './types.js';
+
+/** What a page's text may take of the store's limit for a value, and what one machine takes of it at most. */
+const PAGE_SHARE = 0.8;
+const MACHINE_BYTES = 260;
+/** Hints alone are written this rarely. */
+const HINTS_MS = 8000;
+
+export interface Page {
+  readonly no: number;
+  readonly machines: Set<Machine>;
+  version: Revision;
+  /** A machine in it must be on record before it may be used; or one is gone; or only its images have changed. */
+  urgent: boolean;
+  shrunk: boolean;
+  hints: boolean;
+  writing: boolean;
+  /** The outcome of a write is unknown: its version has to be read before the next. */
+  lost: boolean;
+  writtenAt: Steady;
+}
+
+/**
+ * The machines that may ever be sent a command, as the store holds them: pages of many machines each, so that renting a
+ * hundred costs a few changes and a new leader reads a few records.
+ */
+export class Registry {
+  private readonly pages = new Map<number, Page>();
+  private readonly of = new Map<MachineId, Page>();
+  private readonly perPage: number;
+
+  constructor(private readonly valueBytes: number) {
+    this.perPage = Math.max(1, Math.floor((valueBytes * PAGE_SHARE) / MACHINE_BYTES));
+  }
+
+  /** Takes in a stored page and names the machines on it. */
+  load(item: StoredItem): MachineRecord[] {
+    const no = Number(item.key.slice(MACHINE_PREFIX.length));
+    const records = decodePage(item.value);
+    if (!records || !Number.isSafeInteger(no)) return [];
+    this.pages.set(no, this.fresh(no, item.version));
+    return records;
+  }
+
+  private fresh(no: number, version: Revision): Page {
+    return {
+      no,
+      machines: new Set(),
+      version,
+      urgent: false,
+      shrunk: false,
+      hints: false,
+      writing: false,
+      lost: false,
+      writtenAt: 0 as Steady,
+    };
+  }
+
+  /** Puts a machine that was read from a page back on it. */
+  restore(m: Machine, key: string): void {
+    const page = this.pages.get(Number(key.slice(MACHINE_PREFIX.length)));
+    if (!page) return;
+    page.machines.add(m);
+    this.of.set(m.id, page);
+    m.registered = true;
+  }
+
+  add(m: Machine): void {
+    if (this.of.has(m.id)) return;
+    let page: Page | undefined;
+    for (const p of this.pages.values()) {
+      if (p.machines.size < this.perPage && (page === undefined || p.machines.size > page.machines.size)) page = p;
+    }
+    if (!page) {
+      page = this.fresh(this.pages.size, ABSENT);
+      while (this.pages.has(page.no)) page = this.fresh(page.no + 1, ABSENT);
+      this.pages.set(page.no, page);
+    }
+    page.machines.add(m);
+    page.urgent = true;
+    this.of.set(m.id, page);
+  }
+
+  drop(id: MachineId): void {
+    const page = this.of.get(id);
+    if (!page) return;
+    this.of.delete(id);
+    for (const m of page.machines) if (m.id === id) page.machines.delete(m);
+    page.shrunk = true;
+  }
+
+  noteHints(): void {
+    for (const page of this.pages.values()) {
+      if (page.hints) continue;
+      for (const m of page.machines) {
+        if (!m.imagesChanged) continue;
+        page.hints = true;
+        break;
+      }
+    }
+  }
+
+  /** Pages to write, the most pressing first; without tokens to spare only what can't wait. */
+  due(now: Steady, spare: boolean): Page[] {
+    const found: Page[] = [];
+    for (const p of this.pages.values()) {
+      if (p.writing || p.lost) continue;
+      if (p.urgent || p.shrunk || (p.hints && spare && now - p.writtenAt > HINTS_MS)) found.push(p);
+    }
+    return found.sort((a, b) => Number(b.urgent) - Number(a.urgent) || Number(b.shrunk) - Number(a.shrunk));
+  }
+
+  lostPages(): Page[] {
+    return [...this.pages.values()].filter((p) => p.lost && !p.writing);
+  }
+
+  /** The change that brings the store up to date with a page; `bytes` is about its size. */
+  change(page: Page): { change: Change; bytes: number; machines: Machine[] } {
+    const machines = [...page.machines];
+    const records = machines.map(machineRecord);
+    for (let images = IMAGES_MOST; ; images = Math.floor(images / 2)) {
+      const value = encodePage(records, images);
+      const bytes = JSON.stringify(value).length;
+      // A hint less is no loss; a page that the store refuses would be.
+      if (bytes > this.valueBytes * 0.97 && images > 0) continue;
+      return { change: { put: pageKey(page.no), value }, bytes, machines };
+    }
+  }
+}
+
+const IMAGES_MOST = 16;
+
+const machineRecord = (m: Machine): MachineRecord => ({
+  id: m.id,
+  addr: m.addr,
+  type: m.typeName,
+  zone: m.zone,
+  spot: m.spot,
+  images: m.cachedImages(),
+  fetchSpeed: m.fetchSpeed,
+});
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -7,7 +7,7 @@
 const COMMANDS_MAX = 400;
 
 /** Whether a report is newer than anything seen of this machine. */
-function isNewer(m: Machine, r: WorkerReport): boolean {
+export function isNewer(m: Machine, r: WorkerReport): boolean {
   if (m.session === null || m.seq === null) return true;
   return r.session > m.session || (r.session === m.session && r.seq > m.seq);
 }
@@ -35,6 +35,7 @@
     });
     freed = true;
   }
+  if (m.session !== r.session) m.beatSeq = null;
   m.session = r.session;
   m.seq = r.seq;
   if (!m.accounted) {
@@ -49,6 +50,7 @@
     }
     m.noticeUntil = steadyPlus(now, r.noticeS * 1000);
   }
+  let dropped = false;
   const seen = new Set<string>();
   m.exited = [];
   for (const t of r.tasks) {
@@ -68,6 +70,7 @@
       if (!beat || p.sentSeq === null || r.seq <= p.sentSeq) continue;
       p.phase = 'planned';
       p.sentSeq = null;
+      dropped = true;
       if (p.stop !== null || p.job.broken || p.job.state !== 'accepted') {
         cluster.release(p);
         freed = true;
@@ -78,6 +81,7 @@
     cluster.release(p);
     freed = true;
   }
+  if (dropped) m.unheeded += 1;
   m.dropUnwantedFetches();
   return freed;
 }
@@ -100,7 +104,7 @@
       // A gang is as slow as its slowest machine: only a gang of one says which that is.
       if (job.spec.shape !== 'gang' || job.spec.tasks === 1) noteSpeed(m, job, { surprise, spread });
     }
-    ctx.timers.set('flush', ctx.now.steady);
+    if (ctx.timers.at('flush') === null) ctx.timers.set('flush', steadyPlus(ctx.now.steady, 30));
   }
   if (!mine) return false;
   if (!done) noteFailure(cluster, m, job, t, p.runningSince !== null);
@@ -166,6 +170,7 @@
     if (job.spec.shape !== 'gang' && job.isDone(t.index)) cluster.stop(p, 0);
   }
   const fromStart = p.phase === 'sent';
+  if (fromStart) m.unheeded = 0;
   p.phase = t.phase as 'running';
   if (t.phase === 'fetching') m.noteImage(job, true, now, fromStart);
   else m.noteImage(job, false, now);
--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -53,6 +53,8 @@
 
 export interface Plan {
   readonly starts: PlannedStart[];
+  /** The machines as the plan leaves them. */
+  readonly machines: readonly PlanMachine[];
   readonly cost: number;
   /** Tasks that no machine of the plan can take. */
   readonly unplaced: Map<number, number>;
@@ -93,14 +95,12 @@
 
 const at = (xs: number[], i: number): number => xs[i] as number;
 
-export function eligible(job: PlanJob, m: PlanMachine): boolean {
+function typeFits(job: PlanJob, t: MachineType): boolean {
   return (
-    (job.spotOk || !m.spot) &&
-    (job.types === null || job.types.includes(m.type.name)) &&
-    job.cpus <= m.type.cpus + EPS &&
-    job.gpus <= m.type.gpus + EPS &&
-    job.memGb <= m.type.memGb + EPS &&
-    (job.avoid === null || !job.avoid.has(m.slot))
+    (job.types === null || job.types.includes(t.name)) &&
+    job.cpus <= t.cpus + EPS &&
+    job.gpus <= t.gpus + EPS &&
+    job.memGb <= t.memGb + EPS
   );
 }
 
@@ -154,43 +154,69 @@
 }
 
 interface Candidate {
-  readonly machine: PlanMachine;
+  readonly slot: number;
+  machine: PlanMachine;
   readonly fetchS: number;
   readonly reluctanceS: number;
-  readonly doubt: number;
   step: number;
   count: number;
   startS: number;
+  /** Preference in half seconds: starts that close count as one, and best fit decides. */
+  rank: number;
   slack: number;
 }
 
-function earliest(c: Candidate, job: PlanJob): void {
-  const m = c.machine;
-  const need = c.fetchS + job.durationS;
-  c.count = 0;
-  c.startS = Number.POSITIVE_INFINITY;
-  for (let k = 0; k < m.times.length; k++) {
-    const n = fitCount(m, k, need, job);
-    if (n > 0) {
-      c.step = k;
-      c.count = n;
-      c.startS = at(m.times, k) + c.fetchS;
-      c.slack = slack(m, k, 1, job);
-      return;
-    }
+const before = (a: Candidate, b: Candidate): boolean =>
+  a.rank !== b.rank ? a.rank < b.rank : a.slack !== b.slack ? a.slack < b.slack : a.slot < b.slot;
+
+/** Candidates with the best on top: an array takes many places one after the other, from hundreds of machines. */
+class CandidateHeap {
+  constructor(private readonly items: Candidate[]) {
+    for (let i = (items.length >> 1) - 1; i >= 0; i--) this.down(i);
   }
-}
 
-const better = (a: Candidate, b: Candidate): boolean =>
-  preference(a) < preference(b) - 0.5 || (preference(a) < preference(b) + 0.5 && a.slack < b.slack);
+  get top(): Candidate | undefined {
+    return this.items[0];
+  }
+
+  /** The top one has changed for the worse, or has nothing more to give. */
+  settle(): void {
+    const first = this.items[0];
+    if (!first) return;
+    if (first.count === 0) {
+      const last = this.items.pop() as Candidate;
+      if (this.items.length === 0) return;
+      this.items[0] = last;
+    }
+    this.down(0);
+  }
 
-const preference = (c: Candidate): number => c.startS + c.doubt * at(c.machine.times, c.step) + c.reluctanceS;
+  private down(from: number): void {
+    const { items } = this;
+    const moving = items[from] as Candidate;
+    let i = from;
+    for (;;) {
+      let child = 2 * i + 1;
+      if (child >= items.length) break;
+      if (child + 1 < items.length && before(items[child + 1] as Candidate, items[child] as Candidate)) child += 1;
+      if (!before(items[child] as Candidate, moving)) break;
+      items[i] = items[child] as Candidate;
+      i = child;
+    }
+    items[i] = moving;
+  }
+}
 
-const preferred = (c: Candidate): number => c.fetchS + c.reluctanceS;
+/** Instants at which a gang's start is tried, from the first at which there is room for all of it. */
+const GANG_TRIES = 10;
 
 /** Plans all jobs, in the order given, each in the zone its gene names. */
 export class Planner {
   steps = 0;
+  private base: readonly PlanMachine[] = [];
+  private readonly zoneSlots = new Map<ZoneName, number[]>();
+  /** The plan in progress: a machine is copied when something is first reserved on it. */
+  private machines: PlanMachine[] = [];
 
   constructor(
     private readonly weights: Weights,
@@ -199,42 +225,97 @@
 
   /** `genes`: a zone for each job; null plans arrays over all of their zones at once. */
   plan(base: readonly PlanMachine[], jobs: readonly PlanJob[], genes: readonly ZoneName[] | null): Plan {
-    const machines = base.map(cloneMachine);
+    this.begin(base);
     const starts: PlannedStart[] = [];
     const unplaced = new Map<number, number>();
-    const before = this.steps;
+    const stepsBefore = this.steps;
     let sum = 0;
     let worst = 0;
     for (let i = 0; i < jobs.length; i++) {
       const job = jobs[i] as PlanJob;
       const zone = genes ? (genes[i] as ZoneName) : null;
-      const wait = this.planJob(machines, job, zone, starts, unplaced);
+      const wait = this.planJob(job, zone, starts, unplaced);
       const weighted = job.weight * (job.waitedS + wait);
       sum += weighted;
       if (weighted > worst) worst = weighted;
     }
     const average = jobs.length > 0 ? sum / jobs.length : 0;
     const w = this.weights;
-    const cost = w.average * average + w.maximum * worst + w.idle * (1 - utilization(machines));
-    return { starts, cost, unplaced, steps: this.steps - before };
+    const cost = w.average * average + w.maximum * worst + w.idle * (1 - utilization(this.machines));
+    return { starts, machines: this.machines, cost, unplaced, steps: this.steps - stepsBefore };
+  }
+
+  private begin(base: readonly PlanMachine[]): void {
+    this.machines = base.slice();
+    if (this.base === base) return;
+    this.base = base;
+    this.zoneSlots.clear();
+    for (const m of base) {
+      const slots = this.zoneSlots.get(m.zone);
+      if (slots) slots.push(m.slot);
+      else this.zoneSlots.set(m.zone, [m.slot]);
+    }
+  }
+
+  /**
+   * Jobs beyond those that a round plans in full: what is free on machines now, after that plan, goes to them in order, so
+   * that nothing stands idle because a round looks at so many jobs only. Returns the starts; all are for now.
+   */
+  fillNow(plan: Plan, jobs: readonly PlanJob[]): PlannedStart[] {
+    this.begin(plan.machines);
+    const free = new Set<number>();
+    const hasRoom = (m: PlanMachine): boolean =>
+      at(m.times, 0) <= EPS && at(m.cpus, 0) > EPS && at(m.mem, 0) > EPS && (m.type.gpus === 0 || at(m.gpus, 0) > EPS);
+    for (const m of this.machines) if (hasRoom(m)) free.add(m.slot);
+    const starts: PlannedStart[] = [];
+    for (const job of jobs) {
+      if (free.size === 0) break;
+      if (job.zoneRoom) continue;
+      const from = starts.length;
+      const candidates = this.candidates(job, [...free]);
+      if (job.gang) {
+        for (const zone of job.sameZone ? job.zones : [null]) {
+          const here = zone === null ? candidates : candidates.filter((c) => c.machine.zone === zone);
+          const chosen = this.gangAt(here, job, zone ?? (job.zones[0] as ZoneName), 0);
+          if (!chosen) continue;
+          this.takeGang(chosen, job, 0, starts);
+          break;
+        }
+      } else {
+        const now: Candidate[] = [];
+        for (const c of candidates) {
+          if (!job.zones.includes(c.machine.zone)) continue;
+          c.count = fitCount(c.machine, 0, c.fetchS + job.durationS, job);
+          if (c.count > 0) now.push(this.ranked(c, job, 0));
+        }
+        now.sort((a, b) => (before(a, b) ? -1 : 1));
+        let left = job.tasks;
+        for (const c of now) {
+          if (left <= 0) break;
+          const n = Math.min(left, c.count);
+          this.reserve(c, 0, c.fetchS + job.durationS, n, job);
+          starts.push({ job: job.slot, machine: c.slot, tasks: n, roomAtS: 0, startAtS: c.fetchS });
+          left -= n;
+        }
+      }
+      for (let i = from; i < starts.length; i++) {
+        const { machine } = starts[i] as PlannedStart;
+        if (!hasRoom(this.machines[machine] as PlanMachine)) free.delete(machine);
+      }
+    }
+    return starts;
   }
 
   /** Returns the job's mean wait from now, in seconds. */
-  private planJob(
-    machines: readonly PlanMachine[],
-    job: PlanJob,
-    gene: ZoneName | null,
-    starts: PlannedStart[],
-    unplaced: Map<number, number>,
-  ): number {
+  private planJob(job: PlanJob, gene: ZoneName | null, starts: PlannedStart[], unplaced: Map<number, number>): number {
     if ((gene === null || job.everywhere) && !job.zoneRoom && !(job.gang && job.sameZone)) {
       return job.gang
-        ? this.planGang(machines, job, job.zones[0] as ZoneName, starts, unplaced)
-        : this.planArray(machines, job, job.zones, job.tasks, starts, unplaced);
+        ? this.planGang(job, job.zones[0] as ZoneName, starts, unplaced)
+        : this.planArray(job, job.zones, job.tasks, starts, unplaced);
     }
-    const zone = gene ?? this.roomiest(machines, job);
-    if (job.gang) return this.planGang(machines, job, zone, starts, unplaced);
-    if (!job.zoneRoom) return this.planArray(machines, job, [zone], job.tasks, starts, unplaced);
+    const zone = gene ?? this.roomiest(job);
+    if (job.gang) return this.planGang(job, zone, starts, unplaced);
+    if (!job.zoneRoom) return this.planArray(job, [zone], job.tasks, starts, unplaced);
     // A spread job needs several zones: the gene names the first, the others follow within the limit.
     const zones = [zone, ...job.zones.filter((z) => z !== zone)];
     let left = job.tasks;
@@ -243,18 +324,24 @@
       const n = Math.min(left, job.zoneRoom.get(z) ?? 0);
       if (n <= 0) continue;
       const rest = new Map<number, number>();
-      total += n * this.planArray(machines, job, [z], n, starts, rest);
+      total += n * this.planArray(job, [z], n, starts, rest);
       left -= n - (rest.get(job.slot) ?? 0);
     }
     if (left > 0) unplaced.set(job.slot, left);
     return (total + left * UNPLACED_S) / Math.max(1, job.tasks);
   }
 
+  private slotsIn(zones: readonly ZoneName[]): number[] {
+    if (zones.length === 1) return this.zoneSlots.get(zones[0] as ZoneName) ?? [];
+    const all: number[] = [];
+    for (const z of zones) for (const slot of this.zoneSlots.get(z) ?? []) all.push(slot);
+    return all;
+  }
+
   /** The zone whose machines the job fits have most room now. */
-  private roomiest(machines: readonly PlanMachine[], job: PlanJob): ZoneName {
+  private roomiest(job: PlanJob): ZoneName {
     const room = new Map<ZoneName, number>();
-    for (const m of machines) {
-      if (!eligible(job, m)) continue;
+    for (const { machine: m } of this.candidates(job, this.slotsIn(job.zones))) {
       room.set(m.zone, (room.get(m.zone) ?? 0) + fitCount(m, 0, job.durationS, job) - at(m.times, 0) * 1e-3);
     }
     let best = job.zones[0] as ZoneName;
@@ -262,84 +349,133 @@
     return best;
   }
 
-  private reluctanceS(job: PlanJob, m: PlanMachine): number {
+  private reluctanceS(job: PlanJob, m: PlanMachine, share: number): number {
     const { gpuS, ordinaryS, warmS } = this.reluctance;
     let s = 0;
     if (job.gpus === 0 && m.type.gpus > 0) s += gpuS;
     if (job.spotOk && !m.spot) s += ordinaryS;
     if (m.spot) s += job.spotDelayS;
-    if (m.warmShare > machineShare(job, m.type) + 0.01) s += warmS;
+    if (m.warmShare > share + 0.01) s += warmS;
     return s;
   }
 
-  private candidates(machines: readonly PlanMachine[], job: PlanJob, zones: readonly ZoneName[]): Candidate[] {
+  private candidates(job: PlanJob, slots: readonly number[]): Candidate[] {
     const found: Candidate[] = [];
-    for (const m of machines) {
-      if (!zones.includes(m.zone) || !eligible(job, m)) continue;
-      this.steps += m.times.length;
+    const types = new Map<MachineType, number>();
+    for (const slot of slots) {
+      const m = this.machines[slot] as PlanMachine;
+      if ((m.spot && !job.spotOk) || job.avoid?.has(slot)) continue;
+      let share = types.get(m.type);
+      if (share === undefined) {
+        share = typeFits(job, m.type) ? machineShare(job, m.type) : -1;
+        types.set(m.type, share);
+      }
+      if (share < 0) continue;
       found.push({
+        slot,
         machine: m,
         fetchS: m.fetchS(job.image, job.imageGb),
-        reluctanceS: this.reluctanceS(job, m),
-        doubt: this.reluctance.doubt,
+        reluctanceS: this.reluctanceS(job, m, share),
         step: 0,
         count: 0,
         startS: 0,
+        rank: 0,
         slack: 0,
       });
     }
+    this.steps += found.length;
     return found;
   }
 
+  private ranked(c: Candidate, job: PlanJob, step: number): Candidate {
+    const roomAt = at(c.machine.times, step);
+    c.step = step;
+    c.startS = roomAt + c.fetchS;
+    c.rank = Math.round(2 * (c.startS + this.reluctance.doubt * roomAt + c.reluctanceS));
+    c.slack = slack(c.machine, step, 1, job);
+    return c;
+  }
+
+  /** Finds the first step from which at least one task fits. */
+  private earliest(c: Candidate, job: PlanJob): void {
+    const m = c.machine;
+    const need = c.fetchS + job.durationS;
+    c.count = 0;
+    for (let k = 0; k < m.times.length; k++) {
+      const n = fitCount(m, k, need, job);
+      if (n === 0) continue;
+      c.count = n;
+      this.ranked(c, job, k);
+      return;
+    }
+  }
+
+  private reserve(c: Candidate, from: number, needS: number, n: number, r: Resources): void {
+    if (this.machines[c.slot] === this.base[c.slot]) {
+      this.machines[c.slot] = cloneMachine(this.base[c.slot] as PlanMachine);
+    }
+    c.machine = this.machines[c.slot] as PlanMachine;
+    reserve(c.machine, from, needS, n, r);
+  }
+
   private planArray(
-    machines: readonly PlanMachine[],
     job: PlanJob,
     zones: readonly ZoneName[],
     tasks: number,
     starts: PlannedStart[],
     unplaced: Map<number, number>,
   ): number {
-    const candidates = this.candidates(machines, job, zones);
-    for (const c of candidates) earliest(c, job);
+    const candidates = this.candidates(job, this.slotsIn(zones));
+    for (const c of candidates) this.earliest(c, job);
+    const heap = new CandidateHeap(candidates.filter((c) => c.count > 0));
     let left = tasks;
     let total = 0;
     let last = 0;
     for (let round = 0; left > 0 && round < 2 * candidates.length + 4; round++) {
-      let best: Candidate | null = null;
-      for (const c of candidates) if (c.count > 0 && (best === null || better(c, best))) best = c;
-      if (best === null) break;
+      const best = heap.top;
+      if (!best) break;
       const n = Math.min(left, best.count);
       const roomAt = at(best.machine.times, best.step);
-      starts.push({ job: job.slot, machine: best.machine.slot, tasks: n, roomAtS: roomAt, startAtS: best.startS });
-      reserve(best.machine, roomAt, best.fetchS + job.durationS, n, job);
+      starts.push({ job: job.slot, machine: best.slot, tasks: n, roomAtS: roomAt, startAtS: best.startS });
+      this.reserve(best, roomAt, best.fetchS + job.durationS, n, job);
       total += n * best.startS;
       last = best.startS;
       left -= n;
-      this.steps += best.machine.times.length;
-      earliest(best, job);
+      this.steps += 1;
+      this.earliest(best, job);
+      heap.settle();
     }
     if (left > 0) unplaced.set(job.slot, (unplaced.get(job.slot) ?? 0) + left);
     const lateS = candidates.length > 0 ? last + job.durationS : UNPLACED_S;
     return (total + left * lateS) / Math.max(1, tasks);
   }
 
-  private planGang(
-    machines: readonly PlanMachine[],
-    job: PlanJob,
-    zone: ZoneName,
-    starts: PlannedStart[],
-    unplaced: Map<number, number>,
-  ): number {
+  private planGang(job: PlanJob, zone: ZoneName, starts: PlannedStart[], unplaced: Map<number, number>): number {
     const zones = job.sameZone ? [zone] : [zone, ...job.zones.filter((z) => z !== zone)];
-    const candidates = this.candidates(machines, job, zones);
-    const instants = new Set<number>();
-    for (const c of candidates) for (const t of c.machine.times) instants.add(t);
-    let best: { roomAt: number; startS: number; chosen: { c: Candidate; n: number }[] } | null = null;
+    const candidates = this.candidates(job, this.slotsIn(zones));
+    // Before the machines that come free first have room for all of it, no instant need be tried.
+    const free: { at: number; count: number }[] = [];
+    for (const c of candidates) {
+      const m = c.machine;
+      let before = 0;
+      for (let k = 0; k < m.times.length && before < job.tasks; k++) {
+        const n = fitCount(m, k, c.fetchS + job.durationS, job);
+        if (n <= before) continue;
+        free.push({ at: at(m.times, k), count: n - before });
+        before = n;
+      }
+    }
+    free.sort((a, b) => a.at - b.at);
+    let best: { roomAt: number; startS: number; chosen: Chosen[] } | null = null;
     const doubted = (roomAt: number, startS: number): number => startS + this.reluctance.doubt * roomAt;
+    let room = 0;
     let tried = 0;
-    for (const t of [...instants].sort((a, b) => a - b)) {
+    for (let i = 0; i < free.length && tried < GANG_TRIES; i++) {
+      const { at: t, count } = free[i] as { at: number; count: number };
+      room += count;
+      if (room < job.tasks || (i + 1 < free.length && (free[i + 1] as { at: number }).at <= t + EPS)) continue;
       if (best !== null && doubted(t, t) >= doubted(best.roomAt, best.startS)) break;
-      if (++tried > 40) break;
+      tried += 1;
       const chosen = this.gangAt(candidates, job, zone, t);
       if (!chosen) continue;
       let fetch = 0;
@@ -351,38 +487,36 @@
       unplaced.set(job.slot, job.tasks);
       return UNPLACED_S;
     }
-    for (const { c, n } of best.chosen) {
-      starts.push({ job: job.slot, machine: c.machine.slot, tasks: n, roomAtS: best.roomAt, startAtS: best.startS });
-      reserve(c.machine, best.roomAt, best.startS - best.roomAt + job.durationS, n, job);
-    }
+    this.takeGang(best.chosen, job, best.roomAt, starts);
     return best.startS;
   }
 
+  private takeGang(chosen: readonly Chosen[], job: PlanJob, roomAt: number, starts: PlannedStart[]): void {
+    let fetch = 0;
+    for (const { c } of chosen) fetch = Math.max(fetch, c.fetchS);
+    for (const { c, n } of chosen) {
+      starts.push({ job: job.slot, machine: c.slot, tasks: n, roomAtS: roomAt, startAtS: roomAt + fetch });
+      this.reserve(c, roomAt, fetch + job.durationS, n, job);
+    }
+  }
+
   /** The machines that take the whole gang at `t`, or null. */
-  private gangAt(
-    candidates: readonly Candidate[],
-    job: PlanJob,
-    zone: ZoneName,
-    t: number,
-  ): { c: Candidate; n: number }[] | null {
-    const options: { c: Candidate; n: number; slack: number }[] = [];
+  private gangAt(candidates: readonly Candidate[], job: PlanJob, zone: ZoneName, t: number): Chosen[] | null {
+    const options: { c: Candidate; n: number; near: number; rank: number; slack: number }[] = [];
     for (const c of candidates) {
       const m = c.machine;
       if (at(m.times, 0) > t + EPS) continue;
       let k = m.times.length - 1;
       while (k > 0 && at(m.times, k) > t + EPS) k -= 1;
-      this.steps += 1;
       const n = fitCount(m, k, t - at(m.times, k) + c.fetchS + job.durationS, job);
-      if (n > 0) options.push({ c, n, slack: slack(m, k, 1, job) });
+      if (n === 0) continue;
+      const rank = Math.round(2 * (c.fetchS + c.reluctanceS));
+      options.push({ c, n, near: m.zone === zone ? 0 : 1, rank, slack: slack(m, k, 1, job) });
     }
-    options.sort(
-      (a, b) =>
-        Number(a.c.machine.zone !== zone) - Number(b.c.machine.zone !== zone) ||
-        (Math.abs(preferred(a.c) - preferred(b.c)) > 0.5 ? preferred(a.c) - preferred(b.c) : a.slack - b.slack) ||
-        a.c.machine.slot - b.c.machine.slot,
-    );
+    this.steps += options.length;
+    options.sort((a, b) => a.near - b.near || a.rank - b.rank || a.slack - b.slack || a.c.slot - b.c.slot);
     const room = job.zoneRoom ? new Map(job.zoneRoom) : null;
-    const chosen: { c: Candidate; n: number }[] = [];
+    const chosen: Chosen[] = [];
     let left = job.tasks;
     for (const o of options) {
       if (left === 0) break;
@@ -397,7 +531,12 @@
   }
 }
 
-/** Share of the machines' scarce capacity in use over the next minute. */
+interface Chosen {
+  readonly c: Candidate;
+  readonly n: number;
+}
+
+/** How much of the machines is in use over the next minute. */
 function utilization(machines: readonly PlanMachine[]): number {
   const horizon = 60;
   let used = 0;
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -18,11 +18,16 @@
   readonly jobs: readonly Job[];
   readonly planJobs: readonly PlanJob[];
   readonly machines: readonly Machine[];
+  /** Waiting jobs beyond those planned, with the tasks that found no room now. */
+  readonly beyond: readonly { readonly job: PlanJob; readonly tasks: number }[];
   readonly started: number;
 }
 
 const NOW_S = 0.05;
+const OVERDUE_TASKS = 20;
 const TASKS_PLANNED = 400;
+/** Jobs beyond those planned in full that a round looks at for room that is free now. */
+const FILL_MOST = 250;
 
 /** Seconds until a running task is expected to leave its machine. */
 function remainingS(cluster: Cluster, p: Placement, now: Steady): number {
@@ -156,15 +161,19 @@
   }
   const planMachines = machines.map((m, slot) => planMachine(cluster, m, slot, now));
   const guaranteed = guaranteedTeams(cluster);
-  const ranked: { job: Job; tasks: number; waitedS: number; first: boolean; value: number }[] = [];
+  const ranked: { job: Job; tasks: number; waitedS: number; first: number; value: number }[] = [];
   for (const job of cluster.active) {
     const waiting = Math.min(job.waiting, TASKS_PLANNED);
     if (waiting <= 0 || job.notBefore > now || cluster.blocked(job, unaccounted)) continue;
     // Jobs of a team at its limit sit this round out.
     const room = cluster.quotas.room(job.spec);
-    const tasks = job.spec.shape === 'gang' ? waiting : Math.min(waiting, room);
-    if (tasks <= 0 || tasks > room) continue;
+    const all = job.spec.shape === 'gang' ? waiting : Math.min(waiting, room);
+    if (all <= 0 || all > room) continue;
     const waitedS = Math.max(0, (ctx.now.wall - job.submittedAt) / 1000);
+    // Smallest first alone would let the largest wait for as long as smaller work keeps coming. A job that has waited too
+    // long goes before all others until it has begun; of an array a part is enough for that, so that others go on too.
+    const overdue = waitedS > tuning.overdue_after_s && job.startTerm === 0;
+    const tasks = overdue && job.spec.shape !== 'gang' ? Math.min(all, OVERDUE_TASKS) : all;
     const runS = cluster.estimates.expectS(job.spec);
     const value =
       rankValue(job.spec, tasks, runS, waitedS) /
@@ -172,17 +181,23 @@
         most: tuning.urgency,
         horizonS: tuning.urgency_horizon_s,
       });
-    ranked.push({ job, tasks, waitedS, first: guaranteed.has(job.spec.team), value });
+    // Overdue jobs by how long they have waited, then teams within their guarantee, then the rest.
+    const first = overdue ? 2 : guaranteed.has(job.spec.team) ? 1 : 0;
+    ranked.push({ job, tasks, waitedS, first, value: overdue ? -waitedS : value });
   }
-  ranked.sort((a, b) => Number(b.first) - Number(a.first) || a.value - b.value || (a.job.id < b.job.id ? -1 : 1));
+  ranked.sort((a, b) => b.first - a.first || a.value - b.value || (a.job.id < b.job.id ? -1 : 1));
   const jobs: Job[] = [];
   const planJobs: PlanJob[] = [];
-  for (const { job, tasks, waitedS } of ranked.slice(0, tuning.jobs_planned)) {
-    const zones = feasibleZones(cluster, job, planMachines);
+  const zonesHere = zonesOf(planMachines);
+  const reserved = machines.flatMap((m, slot) => (m.reserved && m.reserved.until > now ? [{ m, slot }] : []));
+  const bySlot = new Map(machines.map((m, slot) => [m.id as string, slot]));
+  for (const { job, tasks, waitedS } of ranked.slice(0, tuning.jobs_planned + FILL_MOST)) {
+    const zones = feasibleZones(cluster, job, zonesHere);
     if (zones.length === 0) continue;
-    planJobs.push(planJob(cluster, job, tasks, zones, waitedS, jobs.length, machines));
+    planJobs.push(planJob(cluster, job, tasks, zones, waitedS, jobs.length, reserved, bySlot));
     jobs.push(job);
   }
+  const inFull = planJobs.slice(0, tuning.jobs_planned);
   const planner = new Planner(
     { average: tuning.weight_average, maximum: tuning.weight_maximum, idle: tuning.weight_idle },
     {
@@ -198,12 +213,37 @@
     mutation: tuning.mutation,
     planSteps: tuning.plan_steps,
   });
-  const none: Plan = { starts: [], cost: 0, unplaced: new Map(), steps: 0 };
-  const plan = planJobs.length > 0 ? search.search(planMachines, planJobs) : none;
-  const oneZone = planJobs.every((j) => j.zones.length === 1 || j.everywhere);
-  const capacity = oneZone ? plan : planner.plan(planMachines, planJobs, null);
-  const started = apply(cluster, plan, jobs, machines);
-  return { capacity, jobs, planJobs, machines, started };
+  const none: Plan = { starts: [], machines: planMachines, cost: 0, unplaced: new Map(), steps: 0 };
+  const plan = inFull.length > 0 ? search.search(planMachines, inFull) : none;
+  const rest = planJobs.slice(inFull.length);
+  const extra = rest.length > 0 ? planner.fillNow(plan, rest) : [];
+  const oneZone = inFull.every((j) => j.zones.length === 1 || j.everywhere);
+  const capacity = oneZone ? plan : planner.plan(planMachines, inFull, null);
+  const started = apply(cluster, [...plan.starts, ...extra], jobs, machines);
+  const placed = new Map<number, number>();
+  for (const s of extra) placed.set(s.job, (placed.get(s.job) ?? 0) + s.tasks);
+  const beyond = rest
+    .map((job) => ({ job, tasks: job.tasks - (placed.get(job.slot) ?? 0) }))
+    .filter(({ tasks }) => tasks > 0);
+  ctx.log('debug', 'round', {
+    waiting: ranked.length,
+    planned: inFull.length,
+    machines: machines.length,
+    steps: planner.steps,
+    started,
+    cost: plan.cost,
+  });
+  return { capacity, jobs, planJobs, machines, beyond, started };
+}
+
+/** For each type, zone and kind in sight one machine that stands for the others, with its zone. */
+function zonesOf(machines: readonly PlanMachine[]): PlanMachine[] {
+  const seen = new Map<string, PlanMachine>();
+  for (const m of machines) {
+    const key = `${m.type.name}|${m.zone}|${m.spot}`;
+    if (!seen.has(key)) seen.set(key, m);
+  }
+  return [...seen.values()];
 }
 
 function planJob(
@@ -213,7 +253,8 @@
   zones: ZoneName[],
   waitedS: number,
   slot: number,
-  machines: readonly Machine[],
+  reserved: readonly { readonly m: Machine; readonly slot: number }[],
+  bySlot: ReadonlyMap<string, number>,
 ): PlanJob {
   const { spec } = job;
   const runS = cluster.estimates.expectS(spec);
@@ -223,13 +264,12 @@
     zoneRoom = new Map(zones.map((z) => [z, Math.max(0, job.zoneLimit - (counts.get(z) ?? 0))]));
   }
   const avoid = new Set<number>();
-  machines.forEach((m, i) => {
-    if (m.reserved && m.reserved.job !== job.id && m.reserved.until > cluster.ctx.now.steady) avoid.add(i);
-  });
+  for (const { m, slot: reservedSlot } of reserved) if (m.reserved?.job !== job.id) avoid.add(reservedSlot);
   if (job.failedOn.size > 0 && job.failedOn.size < 3) {
-    machines.forEach((m, i) => {
-      if (job.failedOn.has(m.id)) avoid.add(i);
-    });
+    for (const id of job.failedOn) {
+      const failed = bySlot.get(id);
+      if (failed !== undefined) avoid.add(failed);
+    }
   }
   return {
     slot,
@@ -271,10 +311,15 @@
   return !spec.spread || (job.zoneCounts().get(m.zone) ?? 0) < job.zoneLimit;
 }
 
-function apply(cluster: Cluster, plan: Plan, jobs: readonly Job[], machines: readonly Machine[]): number {
+function apply(
+  cluster: Cluster,
+  starts: readonly PlannedStart[],
+  jobs: readonly Job[],
+  machines: readonly Machine[],
+): number {
   let started = 0;
   const gangs = new Map<number, PlannedStart[]>();
-  for (const s of plan.starts) {
+  for (const s of starts) {
     const job = jobs[s.job] as Job;
     if (job.spec.shape === 'gang') {
       const parts = gangs.get(s.job);
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -59,6 +59,8 @@
     readonly warm_reluctance_s: number;
     readonly future_doubt: number;
     readonly overdue_share: number;
+    readonly overdue_after_s: number;
+    readonly spacing_per_machine_ms: number;
     readonly urgency: number;
     readonly urgency_horizon_s: number;
   };
--- a/src/io/peer_codec.ts
+++ b/src/io/peer_codec.ts
@@ -1,18 +1,48 @@
-import type { PeerMessage, UserAnswer, UserMood, UserRequest } from '../core/messages.js';
-import type { JobSpec, NodeName } from '../core/types.js';
+import type { PeerMessage, UserAnswer, UserMood, UserRequest, WorkerAnswer } from '../core/messages.js';
+import type {
+  Attempt,
+  Command,
+  ExitReason,
+  JobSpec,
+  MachineId,
+  NodeName,
+  Seq,
+  Session,
+  TaskPhase,
+  TaskReport,
+  Token,
+  TypeName,
+  WorkerReport,
+  ZoneName,
+} from '../core/types.js';
 import { jobId } from './wire.js';
 
 /**
  * Between our own processes: frames of a four-byte length, a version, a kind and a payload, all by hand. Anything too
  * long, of another version or cut short is refused whole.
  */
-export const PEER_VERSION = 1;
+export const PEER_VERSION = 2;
 export const FRAME_MAX = 256 * 1024;
 const HEAD = 6;
 
 export type PeerFrame = { readonly kind: 'hello'; readonly node: NodeName } | PeerMessage;
 
-const KINDS = ['hello', 'status', 'relay', 'relayed'] as const;
+const KINDS = ['hello', 'status', 'relay', 'relayed', 'beat', 'beaten'] as const;
+const PHASES: readonly TaskPhase[] = ['fetching', 'waiting', 'running', 'saving', 'exited'];
+const REASONS: readonly (ExitReason | null)[] = [
+  null,
+  'done',
+  'stopped',
+  'peers_gone',
+  'alone',
+  'error',
+  'no_room',
+  'busy',
+  'unknown',
+];
+const COMMANDS: readonly Command['op'][] = ['start', 'stop', 'forget'];
+/** A report is 64 KiB at most, and a task takes more than ten bytes of it. */
+const TASKS_MAX = 8192;
 const SHAPES = ['array', 'gang', 'service'] as const;
 const OPS = ['submit', 'poll', 'cancel'] as const;
 const MOODS: readonly UserMood[] = ['queued', 'running', 'done', 'cancelled'];
@@ -38,6 +68,11 @@
     this.at = this.buffer.writeUInt32BE(n, this.at);
   }
 
+  u64(n: bigint): void {
+    this.room(8);
+    this.at = this.buffer.writeBigUInt64BE(n, this.at);
+  }
+
   f64(n: number): void {
     this.room(8);
     this.at = this.buffer.writeDoubleBE(n, this.at);
@@ -84,6 +119,17 @@
     return this.buffer.readUInt32BE(this.take(4));
   }
 
+  u64(): bigint {
+    return this.buffer.readBigUInt64BE(this.take(8));
+  }
+
+  /** How many items follow. */
+  count(): number {
+    const n = this.u32();
+    if (n > TASKS_MAX) throw new FrameError('too many items');
+    return n;
+  }
+
   f64(): number {
     return this.buffer.readDoubleBE(this.take(8));
   }
@@ -207,16 +253,100 @@
   return retryAfterS > 0 ? { status, problem, retryAfterS } : { status, problem };
 }
 
+function writeReport(w: Writer, r: WorkerReport): void {
+  w.text(r.machine);
+  w.text(r.addr);
+  w.text(r.type);
+  w.text(r.zone);
+  w.u8((r.spot ? 1 : 0) | (r.noticeS === null ? 0 : 2));
+  w.u64(r.session);
+  w.u64(r.seq);
+  w.u64(r.token);
+  w.f64(r.noticeS ?? 0);
+  w.u32(r.tasks.length);
+  for (const t of r.tasks) {
+    w.text(t.job);
+    w.u32(t.index);
+    w.u64(t.attempt);
+    w.u8(PHASES.indexOf(t.phase) | (t.saved ? 16 : 0));
+    w.u8(REASONS.indexOf(t.reason));
+  }
+}
+
+function readReport(r: Reader): WorkerReport {
+  const machine = r.text() as MachineId;
+  const addr = r.text();
+  const type = r.text() as TypeName;
+  const zone = r.text() as ZoneName;
+  const bits = r.u8();
+  const session = r.u64() as Session;
+  const seq = r.u64() as Seq;
+  const token = r.u64() as Token;
+  const notice = r.f64();
+  const tasks: TaskReport[] = [];
+  for (let n = r.count(); n > 0; n--) {
+    const job = jobId(r.text());
+    if (!job) throw new FrameError('not a job id');
+    const index = r.u32();
+    const attempt = r.u64() as Attempt;
+    const code = r.u8();
+    const phase = PHASES[code & 15];
+    if (phase === undefined) throw new FrameError('unknown code');
+    tasks.push({ job, index, attempt, phase, reason: r.pick(REASONS), saved: (code & 16) !== 0 });
+  }
+  const noticeS = (bits & 2) !== 0 ? notice : null;
+  return { machine, addr, type, zone, spot: (bits & 1) !== 0, session, seq, token, noticeS, tasks };
+}
+
+function writeBeaten(w: Writer, a: WorkerAnswer): void {
+  w.u32(a.status);
+  if (a.status === 421) w.optional(a.reportTo);
+  if (a.status !== 200) return;
+  w.u64(a.token);
+  w.u32(a.commands.length);
+  for (const c of a.commands) {
+    w.u8(COMMANDS.indexOf(c.op));
+    w.text(c.job);
+    w.u32(c.index);
+    w.u64(c.attempt);
+    if (c.op === 'stop') w.f64(c.graceS);
+  }
+}
+
+function readBeaten(r: Reader): WorkerAnswer {
+  const status = r.u32();
+  if (status === 503) return { status };
+  if (status === 421) return { status, reportTo: r.optional() as NodeName | null };
+  if (status !== 200) throw new FrameError('unknown status');
+  const token = r.u64() as Token;
+  const commands: Command[] = [];
+  for (let n = r.count(); n > 0; n--) {
+    const op = r.pick(COMMANDS);
+    const job = jobId(r.text());
+    if (!job) throw new FrameError('not a job id');
+    const index = r.u32();
+    const attempt = r.u64() as Attempt;
+    commands.push(op === 'stop' ? { op, job, index, attempt, graceS: r.f64() } : { op, job, index, attempt });
+  }
+  return { status, token, commands };
+}
+
 export function encodeFrame(f: PeerFrame): Buffer {
   const w = new Writer();
   if (f.kind === 'hello') w.text(f.node);
   else if (f.kind === 'status') {
     w.u8((f.status.leading ? 1 : 0) | (f.status.storeOk ? 2 : 0));
     w.f64(f.status.workersHeardMs);
+    w.f64(f.status.beatsPerS);
   } else {
     w.f64(f.id);
     if (f.kind === 'relay') writeRequest(w, f.request);
-    else writeAnswer(w, f.answer);
+    else if (f.kind === 'relayed') writeAnswer(w, f.answer);
+    else if (f.kind === 'beat') writeReport(w, f.report);
+    else {
+      w.text(f.machine);
+      writeBeaten(w, f.answer);
+    }
   }
   return w.finish(KINDS.indexOf(f.kind));
 }
@@ -229,12 +359,18 @@
     case 'status': {
       const bits = r.u8();
       const workersHeardMs = r.f64();
-      return { kind: 'status', status: { leading: (bits & 1) !== 0, storeOk: (bits & 2) !== 0, workersHeardMs } };
+      const beatsPerS = r.f64();
+      const status = { leading: (bits & 1) !== 0, storeOk: (bits & 2) !== 0, workersHeardMs, beatsPerS };
+      return { kind: 'status', status };
     }
     case 'relay':
       return { kind: 'relay', id: r.f64(), request: readRequest(r) };
     case 'relayed':
       return { kind: 'relayed', id: r.f64(), answer: readAnswer(r) };
+    case 'beat':
+      return { kind: 'beat', id: r.f64(), report: readReport(r) };
+    case 'beaten':
+      return { kind: 'beaten', id: r.f64(), machine: r.text() as MachineId, answer: readBeaten(r) };
     default:
       throw new FrameError('unknown kind');
   }
--- a/src/io/wire.ts
+++ b/src/io/wire.ts
@@ -312,7 +312,11 @@
 export function decodeStore(op: StoreOp, status: number, body: unknown): Result<StoreValue> {
   if (status === 429 || status === 503) return { ok: false, why: 'refused' };
   if (status === 400) return { ok: false, why: 'rejected' };
-  if (status === 409) return { ok: false, why: 'conflict' };
+  if (status === 409) {
+    const failed = (body as { failed?: unknown } | null)?.failed;
+    const keys = Array.isArray(failed) ? failed.filter((k): k is string => typeof k === 'string') : [];
+    return { ok: false, why: 'conflict', keys };
+  }
   if (status === 410) return { ok: false, why: 'gone' };
   if (status === 404) {
     if (op.op !== 'get') return { ok: false, why: 'gone' };
