CPU-only work takes of GPU machines only what GPU work cannot use

All machines were up after 18 s, but array tasks without GPUs filled the cores of GPU machines once they had waited longer than gpu_reluctance_s, and a gang needs whole machines.

--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -334,8 +334,11 @@
   private cheapest(job: PlanJob, tasks: number): Kind | null {
     let best: Kind | null = null;
     let bestCost = Number.POSITIVE_INFINITY;
-    for (const type of this.cluster.types.values()) {
-      if (!canRun(job, type)) continue;
+    const can = [...this.cluster.types.values()].filter((t) => canRun(job, t));
+    // Machines with GPUs are rented for work without only where nothing else runs it.
+    const plain = job.gpus === 0 && can.some((t) => t.gpus === 0);
+    for (const type of can) {
+      if (plain && type.gpus > 0) continue;
       const used = Math.min(tasks, slots(job, type));
       for (const zone of type.zones) {
         // A machine in another zone would be rented, found of no use, returned, and rented again.
--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -11,6 +11,9 @@
   cpus: number[];
   gpus: number[];
   mem: number[];
+  /** What jobs without GPUs may still take of a machine with GPUs: only what GPU work could not use anyway. */
+  looseCpus: number;
+  looseMem: number;
   fetchS(image: ImageName, gb: number): number;
   /** Largest share of a machine that a job needs whose image it holds. */
   readonly warmShare: number;
@@ -123,6 +126,16 @@
   return n;
 }
 
+/** As `fitCount`, and without taking from GPU work what it needs beside its GPUs. */
+function fits(m: PlanMachine, k: number, needS: number, r: Resources): number {
+  if (r.gpus > 0 || m.type.gpus === 0) return fitCount(m, k, needS, r);
+  const loose = Math.min(
+    r.cpus > 0 ? m.looseCpus / r.cpus : Number.POSITIVE_INFINITY,
+    r.memGb > 0 ? m.looseMem / r.memGb : Number.POSITIVE_INFINITY,
+  );
+  return loose + EPS < 1 ? 0 : Math.min(Math.floor(loose + EPS), fitCount(m, k, needS, r));
+}
+
 /** Room left in the scarcest resource after `n` tasks, as a share of the machine: best fit takes the least. */
 function slack(m: PlanMachine, k: number, n: number, r: Resources): number {
   let least = 1;
@@ -285,7 +298,7 @@
         const now: Candidate[] = [];
         for (const c of candidates) {
           if (!job.zones.includes(c.machine.zone)) continue;
-          c.count = fitCount(c.machine, 0, c.fetchS + job.durationS, job);
+          c.count = fits(c.machine, 0, c.fetchS + job.durationS, job);
           if (c.count > 0) now.push(this.ranked(c, job, 0));
         }
         now.sort((a, b) => (before(a, b) ? -1 : 1));
@@ -402,7 +415,7 @@
     const need = c.fetchS + job.durationS;
     c.count = 0;
     for (let k = 0; k < m.times.length; k++) {
-      const n = fitCount(m, k, need, job);
+      const n = fits(m, k, need, job);
       if (n === 0) continue;
       c.count = n;
       this.ranked(c, job, k);
@@ -416,6 +429,9 @@
     }
     c.machine = this.machines[c.slot] as PlanMachine;
     reserve(c.machine, from, needS, n, r);
+    if (r.gpus > 0 || c.machine.type.gpus === 0) return;
+    c.machine.looseCpus -= n * r.cpus;
+    c.machine.looseMem -= n * r.memGb;
   }
 
   private planArray(
@@ -459,7 +475,7 @@
       const m = c.machine;
       let before = 0;
       for (let k = 0; k < m.times.length && before < job.tasks; k++) {
-        const n = fitCount(m, k, c.fetchS + job.durationS, job);
+        const n = fits(m, k, c.fetchS + job.durationS, job);
         if (n <= before) continue;
         free.push({ at: at(m.times, k), count: n - before });
         before = n;
@@ -508,7 +524,7 @@
       if (at(m.times, 0) > t + EPS) continue;
       let k = m.times.length - 1;
       while (k > 0 && at(m.times, k) > t + EPS) k -= 1;
-      const n = fitCount(m, k, t - at(m.times, k) + c.fetchS + job.durationS, job);
+      const n = fits(m, k, t - at(m.times, k) + c.fetchS + job.durationS, job);
       if (n === 0) continue;
       const rank = Math.round(2 * (c.fetchS + c.reluctanceS));
       options.push({ c, n, near: m.zone === zone ? 0 : 1, rank, slack: slack(m, k, 1, job) });
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -3,7 +3,7 @@
 import type { Machine } from '../fleet.js';
 import { spotDelayS } from '../hazard.js';
 import type { Job, Placement } from '../jobs.js';
-import type { MachineType, Steady, ZoneName } from '../types.js';
+import type { MachineType, Resources, Steady, ZoneName } from '../types.js';
 import { Evolution } from './evolution.js';
 import { machineShare, type Plan, type PlanJob, type PlanMachine, type PlannedStart, Planner } from './planner.js';
 import { rankValue, urgency, userWeight } from './priority.js';
@@ -50,7 +50,45 @@
   return Math.max(m.type.bootS * 0.15, m.type.bootS * 1.05 - age);
 }
 
-function planMachine(cluster: Cluster, m: Machine, slot: number, now: Steady): PlanMachine {
+/** The shapes of GPU tasks that there are now, each once. */
+type GpuWork = readonly Resources[];
+
+function gpuWorkOf(cluster: Cluster): GpuWork {
+  const shapes = new Map<string, Resources>();
+  for (const { spec, state } of cluster.active) {
+    if (spec.gpus <= 0 || state !== 'accepted') continue;
+    const key = `${spec.gpus}|${spec.cpus}|${spec.memGb}`;
+    if (!shapes.has(key)) shapes.set(key, spec);
+  }
+  return [...shapes.values()];
+}
+
+/**
+ * On machines with GPUs, the cores and memory that GPU work has no use for even when it has all the GPUs. Work without
+ * GPUs that took more would keep GPUs idle: a gang that needs whole machines would wait for the last small task on each.
+ */
+function looseRoom(m: Machine, gpuWork: GpuWork): { cpus: number; memGb: number } {
+  const { type } = m;
+  if (type.gpus === 0) return { cpus: Number.POSITIVE_INFINITY, memGb: Number.POSITIVE_INFINITY };
+  let cpus = 0;
+  let memGb = 0;
+  for (const r of gpuWork) {
+    if (r.gpus > type.gpus) continue;
+    const n = Math.floor(type.gpus / r.gpus + 1e-6);
+    cpus = Math.max(cpus, Math.min(type.cpus, n * r.cpus));
+    memGb = Math.max(memGb, Math.min(type.memGb, n * r.memGb));
+  }
+  let usedCpus = 0;
+  let usedMem = 0;
+  for (const { job } of m.placements.values()) {
+    if (job.spec.gpus > 0) continue;
+    usedCpus += job.spec.cpus;
+    usedMem += job.spec.memGb;
+  }
+  return { cpus: type.cpus - cpus - usedCpus, memGb: type.memGb - memGb - usedMem };
+}
+
+function planMachine(cluster: Cluster, m: Machine, slot: number, now: Steady, gpuWork: GpuWork): PlanMachine {
   const ready = m.phase === 'booting' ? bootingS(m, now) : 0;
   const times = [ready];
   const cpus = [m.type.cpus - m.usedCpus];
@@ -72,9 +110,12 @@
     gpus[k] = (gpus[k] as number) + spec.gpus;
     mem[k] = (mem[k] as number) + spec.memGb;
   }
+  const loose = looseRoom(m, gpuWork);
   return {
     slot,
     zone: m.zone,
+    looseCpus: loose.cpus,
+    looseMem: loose.memGb,
     type: m.type,
     spot: m.spot,
     times,
@@ -166,7 +207,8 @@
     if (m.usable(now, ctx.settings.workers.reportMs) || (m.phase === 'booting' && !m.deleting && m.draining === null))
       machines.push(m);
   }
-  const planMachines = machines.map((m, slot) => planMachine(cluster, m, slot, now));
+  const gpuWork = gpuWorkOf(cluster);
+  const planMachines = machines.map((m, slot) => planMachine(cluster, m, slot, now, gpuWork));
   const guaranteed = guaranteedTeams(cluster);
   const gathering = new Set<string>();
   let ranked: { job: Job; tasks: number; waitedS: number; first: number; value: number }[] = [];
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -127,6 +127,8 @@
     cpus: freeCpus < t.cpus ? [freeCpus, t.cpus] : [t.cpus],
     gpus: freeCpus < t.cpus ? [t.gpus, t.gpus] : [t.gpus],
     mem: freeCpus < t.cpus ? [64, 64] : [64],
+    looseCpus: t.cpus,
+    looseMem: t.memGb,
     fetchS: () => fetchS,
     warmShare: 0,
   };
@@ -170,6 +172,18 @@
   assert.equal(tight.starts[0]?.machine, 1);
 });
 
+test('planner: work without GPUs takes of a GPU machine only what GPU work cannot use', () => {
+  const g4 = type('g4', 24, 4);
+  const tight = { ...machine(0, 'a', g4, 24), looseCpus: 3 };
+  const plan = planner().plan([tight], [planJob(0, { tasks: 8 })], [a]);
+  assert.equal(
+    plan.starts.reduce((n, s) => n + s.tasks, 0),
+    3,
+  );
+  const gpus = planner().plan([tight], [planJob(0, { tasks: 4, gpus: 1, cpus: 6 })], [a]);
+  assert.equal(gpus.starts[0]?.tasks, 4);
+});
+
 test('planner: a gang waits for room for all of it, and later jobs don’t take that room', () => {
   const c8 = type('c8', 8, 0);
   const jobs = [planJob(0, { gang: true, tasks: 2, cpus: 8 }), planJob(1, { cpus: 8, durationS: 60 })];
