--- a/src/config/tuning.ts
+++ b/src/config/tuning.ts
@@ -28,6 +28,7 @@
     future_doubt: within(0, 10),
     overdue_share: within(0, 10),
     overdue_after_s: positive,
+    priority_base: within(1, 100),
     spacing_per_machine_ms: notNegative,
     urgency: notNegative,
     urgency_horizon_s: positive,
--- a/src/core/scheduler/evolution.ts
+++ b/src/core/scheduler/evolution.ts
@@ -31,13 +31,14 @@
     return from[this.below(from.length)] as T;
   }
 
-  search(machines: readonly PlanMachine[], jobs: readonly PlanJob[]): Plan {
+  /** `seed`: zones to start from beside the random ones, where something better than chance is known. */
+  search(machines: readonly PlanMachine[], jobs: readonly PlanJob[], seed: ZoneName[] | null = null): Plan {
     const evaluate = (genes: ZoneName[]): Individual => ({
       genes,
       plan: this.planner.plan(machines, jobs, genes),
     });
     const randomGenes = (): ZoneName[] => jobs.map((j) => this.pick(j.zones));
-    const first = evaluate(randomGenes());
+    const first = evaluate(seed ?? randomGenes());
     // With one feasible zone for every job there is nothing to search: the planner alone decides.
     if (jobs.every((j) => j.zones.length === 1 || j.everywhere)) return first.plan;
     const { individuals, generations, planSteps } = this.settings;
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -230,7 +230,7 @@
     const tasks = isOverdue && job.spec.shape !== 'gang' ? Math.min(all, OVERDUE_TASKS) : all;
     const runS = cluster.estimates.expectS(job.spec);
     const value =
-      rankValue(job.spec, tasks, runS, waitedS) /
+      rankValue(job.spec, tasks, runS, waitedS, tuning.priority_base) /
       urgency(job.spec, ctx.settings.objectives, waitedS, fetchGuessS(cluster, job), runS, {
         most: tuning.urgency,
         horizonS: tuning.urgency_horizon_s,
@@ -270,11 +270,13 @@
     planSteps: tuning.plan_steps,
   });
   const none: Plan = { starts: [], machines: planMachines, cost: 0, unplaced: new Map(), steps: 0 };
-  const plan = inFull.length > 0 ? search.search(planMachines, inFull) : none;
+  const oneZone = inFull.every((j) => j.zones.length === 1 || j.everywhere);
+  // Over all zones at once: what starts late here lacks machines, not a better zone. It also seeds the search.
+  const free = oneZone || inFull.length === 0 ? null : planner.plan(planMachines, inFull, null);
+  const plan = inFull.length > 0 ? search.search(planMachines, inFull, free ? zonesChosen(free, inFull) : null) : none;
   const rest = planJobs.slice(inFull.length);
   const extra = rest.length > 0 ? planner.fillNow(plan, rest) : [];
-  const oneZone = inFull.every((j) => j.zones.length === 1 || j.everywhere);
-  const capacity = oneZone ? plan : planner.plan(planMachines, inFull, null);
+  const capacity = free ?? plan;
   const started = apply(cluster, [...plan.starts, ...extra], jobs, machines);
   const placed = new Map<number, number>();
   for (const s of extra) placed.set(s.job, (placed.get(s.job) ?? 0) + s.tasks);
@@ -292,6 +294,23 @@
   return { capacity, jobs, planJobs, machines, beyond, started };
 }
 
+/** For each job the zone in which a plan over all zones puts most of it. */
+function zonesChosen(plan: Plan, jobs: readonly PlanJob[]): ZoneName[] {
+  const counts = jobs.map(() => new Map<ZoneName, number>());
+  for (const s of plan.starts) {
+    const zone = (plan.machines[s.machine] as PlanMachine).zone;
+    const count = counts[s.job] as Map<ZoneName, number>;
+    count.set(zone, (count.get(zone) ?? 0) + s.tasks);
+  }
+  return jobs.map((job, i) => {
+    let best = job.zones[0] as ZoneName;
+    for (const [zone, n] of counts[i] as Map<ZoneName, number>) {
+      if (job.zones.includes(zone) && n > (counts[i]?.get(best) ?? 0)) best = zone;
+    }
+    return best;
+  });
+}
+
 /** For each type, zone and kind in sight one machine that stands for the others, with its zone. */
 function zonesOf(machines: readonly PlanMachine[]): PlanMachine[] {
   const seen = new Map<string, PlanMachine>();
@@ -345,7 +364,7 @@
     zoneRoom,
     zones,
     boundTo: spec.zone ?? (spec.sameZone && job.placements.size > 0 ? (zones[0] as ZoneName) : null),
-    weight: userWeight(spec.rank),
+    weight: userWeight(spec.rank, cluster.ctx.tuning.scheduler.priority_base),
     waitedS,
     avoid: avoid.size > 0 ? avoid : null,
   };
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -60,6 +60,7 @@
     readonly future_doubt: number;
     readonly overdue_share: number;
     readonly overdue_after_s: number;
+    readonly priority_base: number;
     readonly spacing_per_machine_ms: number;
     readonly urgency: number;
     readonly urgency_horizon_s: number;
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -67,6 +67,13 @@
   assert.ok(Math.abs(e.expectS(spec) - 40) < 5);
 });
 
+test('ranking: at the same wait a step of priority makes up for four times the size', () => {
+  const low = makeSpec('job-1', 'array', { cpus: '1', estimate: '10', rank: '0' });
+  const high = makeSpec('job-2', 'array', { cpus: '3', estimate: '10', rank: '1' });
+  assert.ok(rankValue(high, 1, 10, 100, 4) < rankValue(low, 1, 10, 100, 4));
+  assert.ok(rankValue(high, 1, 10, 0, 4) > rankValue(low, 1, 10, 0, 4));
+});
+
 test('slowness: a slow machine is told from a wrong estimate by several jobs, weighed by how sure they are', () => {
   const job = (n: number): JobId => `job-${n}` as JobId;
   const none = new Map<JobId, Evidence>();
@@ -100,8 +107,8 @@
 test('ranking: small and short first, and waiting makes up for size', () => {
   const small = makeSpec('job-1', 'array', { cpus: '1', estimate: '10' });
   const large = makeSpec('job-2', 'gang', { gpus: '4', estimate: '100' });
-  assert.ok(rankValue(small, 1, 10, 0) < rankValue(large, 2, 100, 0));
-  assert.ok(rankValue(small, 1, 10, 0) > rankValue(large, 2, 100, 600));
+  assert.ok(rankValue(small, 1, 10, 0, 2) < rankValue(large, 2, 100, 0, 2));
+  assert.ok(rankValue(small, 1, 10, 0, 2) > rankValue(large, 2, 100, 600, 2));
 });
 
 const type = (name: string, cpus: number, gpus: number): MachineType => ({
