--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -3,7 +3,7 @@
 import type { Machine } from '../fleet.js';
 import { spotDelayS } from '../hazard.js';
 import type { Job, Placement } from '../jobs.js';
-import type { MachineType, Steady, ZoneName } from '../types.js';
+import type { MachineType, Resources, Steady, ZoneName } from '../types.js';
 import { Evolution } from './evolution.js';
 import { machineShare, type Plan, type PlanJob, type PlanMachine, type PlannedStart, Planner } from './planner.js';
 import { rankValue, urgency, userWeight } from './priority.js';
@@ -50,7 +50,45 @@
   return Math.max(m.type.bootS * 0.15, m.type.bootS * 1.05 - age);
 }
 
-function planMachine(cluster: Cluster, m: Machine, slot: number, now: Steady): PlanMachine {
+/** The shapes of GPU tasks that there are now, each once. */
+type GpuWork = readonly Resources[];
+
+function gpuWorkOf(cluster: Cluster): GpuWork {
+  const shapes = new Map<string, Resources>();
+  for (const { spec, state } of cluster.active) {
+    if (spec.gpus <= 0 || state !== 'accepted') continue;
+    const key = `${spec.gpus}|${spec.cpus}|${spec.memGb}`;
+    if (!shapes.has(key)) shapes.set(key, spec);
+  }
+  return [...shapes.values()];
+}
+
+/**
+ * On machines with GPUs, the cores and memory that GPU work has no use for even when it has all the GPUs. Work without
+ * GPUs that took more would keep GPUs idle: a gang that needs whole machines would wait for the last small task on each.
+ */
+function looseRoom(m: Machine, gpuWork: GpuWork): { cpus: number; memGb: number } {
+  const { type } = m;
+  if (type.gpus === 0) return { cpus: Number.POSITIVE_INFINITY, memGb: Number.POSITIVE_INFINITY };
+  let cpus = 0;
+  let memGb = 0;
+  for (const r of gpuWork) {
+    if (r.gpus > type.gpus) continue;
+    const n = Math.floor(type.gpus / r.gpus + 1e-6);
+    cpus = Math.max(cpus, Math.min(type.cpus, n * r.cpus));
+    memGb = Math.max(memGb, Math.min(type.memGb, n * r.memGb));
+  }
+  let usedCpus = 0;
+  let usedMem = 0;
+  for (const { job } of m.placements.values()) {
+    if (job.spec.gpus > 0) continue;
+    usedCpus += job.spec.cpus;
+    usedMem += job.spec.memGb;
+  }
+  return { cpus: type.cpus - cpus - usedCpus, memGb: type.memGb - memGb - usedMem };
+}
+
+function planMachine(cluster: Cluster, m: Machine, slot: number, now: Steady, gpuWork: GpuWork): PlanMachine {
   const ready = m.phase === 'booting' ? bootingS(m, now) : 0;
   const times = [ready];
   const cpus = [m.type.cpus - m.usedCpus];
@@ -72,9 +110,12 @@
     gpus[k] = (gpus[k] as number) + spec.gpus;
     mem[k] = (mem[k] as number) + spec.memGb;
   }
+  const loose = looseRoom(m, gpuWork);
   return {
     slot,
     zone: m.zone,
+    looseCpus: loose.cpus,
+    looseMem: loose.memGb,
     type: m.type,
     spot: m.spot,
     times,
@@ -166,7 +207,8 @@
     if (m.usable(now, ctx.settings.workers.reportMs) || (m.phase === 'booting' && !m.deleting && m.draining === null))
       machines.push(m);
   }
-  const planMachines = machines.map((m, slot) => planMachine(cluster, m, slot, now));
+  const gpuWork = gpuWorkOf(cluster);
+  const planMachines = machines.map((m, slot) => planMachine(cluster, m, slot, now, gpuWork));
   const guaranteed = guaranteedTeams(cluster);
   const gathering = new Set<string>();
   let ranked: { job: Job; tasks: number; waitedS: number; first: number; value: number }[] = [];
@@ -188,7 +230,7 @@
     const tasks = isOverdue && job.spec.shape !== 'gang' ? Math.min(all, OVERDUE_TASKS) : all;
     const runS = cluster.estimates.expectS(job.spec);
     const value =
-      rankValue(job.spec, tasks, runS, waitedS) /
+      rankValue(job.spec, tasks, runS, waitedS, tuning.priority_base) /
       urgency(job.spec, ctx.settings.objectives, waitedS, fetchGuessS(cluster, job), runS, {
         most: tuning.urgency,
         horizonS: tuning.urgency_horizon_s,
@@ -228,11 +270,13 @@
     planSteps: tuning.plan_steps,
   });
   const none: Plan = { starts: [], machines: planMachines, cost: 0, unplaced: new Map(), steps: 0 };
-  const plan = inFull.length > 0 ? search.search(planMachines, inFull) : none;
+  const oneZone = inFull.every((j) => j.zones.length === 1 || j.everywhere);
+  // Over all zones at once: what starts late here lacks machines, not a better zone. It also seeds the search.
+  const free = oneZone || inFull.length === 0 ? null : planner.plan(planMachines, inFull, null);
+  const plan = inFull.length > 0 ? search.search(planMachines, inFull, free ? zonesChosen(free, inFull) : null) : none;
   const rest = planJobs.slice(inFull.length);
   const extra = rest.length > 0 ? planner.fillNow(plan, rest) : [];
-  const oneZone = inFull.every((j) => j.zones.length === 1 || j.everywhere);
-  const capacity = oneZone ? plan : planner.plan(planMachines, inFull, null);
+  const capacity = free ?? plan;
   const started = apply(cluster, [...plan.starts, ...extra], jobs, machines);
   const placed = new Map<number, number>();
   for (const s of extra) placed.set(s.job, (placed.get(s.job) ?? 0) + s.tasks);
@@ -250,6 +294,23 @@
   return { capacity, jobs, planJobs, machines, beyond, started };
 }
 
+/** For each job the zone in which a plan over all zones puts most of it. */
+function zonesChosen(plan: Plan, jobs: readonly PlanJob[]): ZoneName[] {
+  const counts = jobs.map(() => new Map<ZoneName, number>());
+  for (const s of plan.starts) {
+    const zone = (plan.machines[s.machine] as PlanMachine).zone;
+    const count = counts[s.job] as Map<ZoneName, number>;
+    count.set(zone, (count.get(zone) ?? 0) + s.tasks);
+  }
+  return jobs.map((job, i) => {
+    let best = job.zones[0] as ZoneName;
+    for (const [zone, n] of counts[i] as Map<ZoneName, number>) {
+      if (job.zones.includes(zone) && n > (counts[i]?.get(best) ?? 0)) best = zone;
+    }
+    return best;
+  });
+}
+
 /** For each type, zone and kind in sight one machine that stands for the others, with its zone. */
 function zonesOf(machines: readonly PlanMachine[]): PlanMachine[] {
   const seen = new Map<string, PlanMachine>();
@@ -303,7 +364,7 @@
     zoneRoom,
     zones,
     boundTo: spec.zone ?? (spec.sameZone && job.placements.size > 0 ? (zones[0] as ZoneName) : null),
-    weight: userWeight(spec.rank),
+    weight: userWeight(spec.rank, cluster.ctx.tuning.scheduler.priority_base),
     waitedS,
     avoid: avoid.size > 0 ? avoid : null,
   };
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -67,6 +67,13 @@
   assert.ok(Math.abs(e.expectS(spec) - 40) < 5);
 });
 
+test('ranking: at the same wait a step of priority makes up for four times the size', () => {
+  const low = makeSpec('job-1', 'array', { cpus: '1', estimate: '10', rank: '0' });
+  const high = makeSpec('job-2', 'array', { cpus: '3', estimate: '10', rank: '1' });
+  assert.ok(rankValue(high, 1, 10, 100, 4) < rankValue(low, 1, 10, 100, 4));
+  assert.ok(rankValue(high, 1, 10, 0, 4) > rankValue(low, 1, 10, 0, 4));
+});
+
 test('slowness: a slow machine is told from a wrong estimate by several jobs, weighed by how sure they are', () => {
   const job = (n: number): JobId => `job-${n}` as JobId;
   const none = new Map<JobId, Evidence>();
@@ -100,8 +107,8 @@
 test('ranking: small and short first, and waiting makes up for size', () => {
   const small = makeSpec('job-1', 'array', { cpus: '1', estimate: '10' });
   const large = makeSpec('job-2', 'gang', { gpus: '4', estimate: '100' });
-  assert.ok(rankValue(small, 1, 10, 0) < rankValue(large, 2, 100, 0));
-  assert.ok(rankValue(small, 1, 10, 0) > rankValue(large, 2, 100, 600));
+  assert.ok(rankValue(small, 1, 10, 0, 2) < rankValue(large, 2, 100, 0, 2));
+  assert.ok(rankValue(small, 1, 10, 0, 2) > rankValue(large, 2, 100, 600, 2));
 });
 
 const type = (name: string, cpus: number, gpus: number): MachineType => ({
@@ -127,6 +134,8 @@
     cpus: freeCpus < t.cpus ? [freeCpus, t.cpus] : [t.cpus],
     gpus: freeCpus < t.cpus ? [t.gpus, t.gpus] : [t.gpus],
     mem: freeCpus < t.cpus ? [64, 64] : [64],
+    looseCpus: t.cpus,
+    looseMem: t.memGb,
     fetchS: () => fetchS,
     warmShare: 0,
   };
@@ -170,6 +179,18 @@
   assert.equal(tight.starts[0]?.machine, 1);
 });
 
+test('planner: work without GPUs takes of a GPU machine only what GPU work cannot use', () => {
+  const g4 = type('g4', 24, 4);
+  const tight = { ...machine(0, 'a', g4, 24), looseCpus: 3 };
+  const plan = planner().plan([tight], [planJob(0, { tasks: 8 })], [a]);
+  assert.equal(
+    plan.starts.reduce((n, s) => n + s.tasks, 0),
+    3,
+  );
+  const gpus = planner().plan([tight], [planJob(0, { tasks: 4, gpus: 1, cpus: 6 })], [a]);
+  assert.equal(gpus.starts[0]?.tasks, 4);
+});
+
 test('planner: a gang waits for room for all of it, and later jobs don’t take that room', () => {
   const c8 = type('c8', 8, 0);
   const jobs = [planJob(0, { gang: true, tasks: 2, cpus: 8 }), planJob(1, { cpus: 8, durationS: 60 })];
