--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -3,7 +3,7 @@
 import type { Machine } from '../fleet.js';
 import { spotDelayS } from '../hazard.js';
 import type { Job, Placement } from '../jobs.js';
-import type { MachineType, Resources, Steady, ZoneName } from '../types.js';
+import { type JobId, type MachineType, type Resources, type Steady, steadyPlus, type ZoneName } from '../types.js';
 import { Evolution } from './evolution.js';
 import { machineShare, type Plan, type PlanJob, type PlanMachine, type PlannedStart, Planner } from './planner.js';
 import { rankValue, urgency, userWeight } from './priority.js';
@@ -25,6 +25,10 @@
 
 const NOW_S = 0.05;
 const OVERDUE_TASKS = 20;
+/** Room is kept for gangs whose tasks take more of a machine than this, if they start there within so many seconds. */
+const WHOLE_SHARE = 0.6;
+const KEEP_WITHIN_S = 45;
+const KEEP_MS = 4000;
 const TASKS_PLANNED = 400;
 /** Jobs beyond those planned in full that a round looks at for room that is free now. */
 const FILL_MOST = 250;
@@ -245,12 +249,19 @@
   const jobs: Job[] = [];
   const planJobs: PlanJob[] = [];
   const zonesHere = zonesOf(planMachines);
-  const reserved = machines.flatMap((m, slot) => (m.reserved && m.reserved.until > now ? [{ m, slot }] : []));
+  const position = new Map(ranked.map((r, i) => [r.job.id, i]));
+  const reserved: Reserved[] = [];
+  machines.forEach((m, slot) => {
+    if (m.reserved && m.reserved.until > now)
+      reserved.push({ slot, job: m.reserved.job, from: position.get(m.reserved.job) ?? -1 });
+  });
   const bySlot = new Map(machines.map((m, slot) => [m.id as string, slot]));
   for (const { job, tasks, waitedS } of ranked.slice(0, tuning.jobs_planned + FILL_MOST)) {
     const zones = feasibleZones(cluster, job, zonesHere);
     if (zones.length === 0) continue;
-    planJobs.push(planJob(cluster, job, tasks, zones, waitedS, jobs.length, reserved, bySlot));
+    planJobs.push(
+      planJob(cluster, job, tasks, zones, waitedS, jobs.length, position.get(job.id) ?? 0, reserved, bySlot),
+    );
     jobs.push(job);
   }
   const inFull = planJobs.slice(0, tuning.jobs_planned);
@@ -278,6 +289,7 @@
   const extra = rest.length > 0 ? planner.fillNow(plan, rest) : [];
   const capacity = free ?? plan;
   const started = apply(cluster, [...plan.starts, ...extra], jobs, machines);
+  keepRoom(cluster, plan, jobs, machines);
   const placed = new Map<number, number>();
   for (const s of extra) placed.set(s.job, (placed.get(s.job) ?? 0) + s.tasks);
   const beyond = rest
@@ -294,6 +306,29 @@
   return { capacity, jobs, planJobs, machines, beyond, started };
 }
 
+/** A machine that is kept for a job, and how far ahead in the ranking that is; -1: the job is on its way there. */
+interface Reserved {
+  readonly slot: number;
+  readonly job: JobId;
+  readonly from: number;
+}
+
+/**
+ * Whole machines hardly ever come free by themselves: estimates are wrong, and what is planned to end before a gang's start
+ * often doesn't. So the machines that the plan gives to a gang soon are kept for it: nothing ranked after it starts there.
+ */
+function keepRoom(cluster: Cluster, plan: Plan, jobs: readonly Job[], machines: readonly Machine[]): void {
+  const now = cluster.ctx.now.steady;
+  for (const s of plan.starts) {
+    const { id, spec, placements } = jobs[s.job] as Job;
+    const m = machines[s.machine] as Machine;
+    if (spec.shape !== 'gang' || placements.size > 0 || s.roomAtS > KEEP_WITHIN_S || m.phase !== 'up') continue;
+    if (machineShare(spec, m.type) <= WHOLE_SHARE) continue;
+    if (m.reserved && m.reserved.until > now && m.reserved.job !== id) continue;
+    m.reserved = { job: id, until: steadyPlus(now, KEEP_MS) };
+  }
+}
+
 /** For each job the zone in which a plan over all zones puts most of it. */
 function zonesChosen(plan: Plan, jobs: readonly PlanJob[]): ZoneName[] {
   const counts = jobs.map(() => new Map<ZoneName, number>());
@@ -328,7 +363,8 @@
   zones: ZoneName[],
   waitedS: number,
   slot: number,
-  reserved: readonly { readonly m: Machine; readonly slot: number }[],
+  rankedAt: number,
+  reserved: readonly Reserved[],
   bySlot: ReadonlyMap<string, number>,
 ): PlanJob {
   const { spec } = job;
@@ -339,7 +375,7 @@
     zoneRoom = new Map(zones.map((z) => [z, Math.max(0, job.zoneLimit - (counts.get(z) ?? 0))]));
   }
   const avoid = new Set<number>();
-  for (const { m, slot: reservedSlot } of reserved) if (m.reserved?.job !== job.id) avoid.add(reservedSlot);
+  for (const r of reserved) if (r.job !== job.id && r.from < rankedAt) avoid.add(r.slot);
   if (job.failedOn.size > 0 && job.failedOn.size < 3) {
     for (const id of job.failedOn) {
       const failed = bySlot.get(id);
