--- a/src/config/tuning.ts
+++ b/src/config/tuning.ts
@@ -24,6 +24,7 @@
     weight_idle: notNegative,
     gpu_reluctance_s: notNegative,
     ordinary_reluctance_s: notNegative,
+    wanted_reluctance_s: notNegative,
     warm_reluctance_s: notNegative,
     future_doubt: within(0, 10),
     overdue_share: within(0, 10),
--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -250,29 +250,28 @@
     if (!this.listedOnce) return;
     this.counted = null;
     const need = new Map<string, { kind: Kind; machines: number; least: number }>();
-    for (const { job, tasks, unplaced } of this.lateTasks(round)) {
-      const kind = this.cheapest(job, tasks);
-      if (!kind) continue;
+    const add = (kind: Kind, machines: number, least: number): void => {
       const key = kindKey(kind.type.name, kind.zone, kind.spot);
       const entry = need.get(key) ?? { kind, machines: 0, least: 0 };
-      entry.machines += this.machinesFor(job, kind.type, tasks);
-      // Work that no machine can take gets one, however little it is: rounding must not starve it.
-      if (unplaced) entry.least = 1;
+      entry.machines += machines;
+      entry.least = Math.max(entry.least, least);
       need.set(key, entry);
+    };
+    for (const { job, tasks, unplaced } of this.lateTasks(round)) {
+      const kind = this.cheapest(job, tasks);
+      // Work that no machine can take gets one, however little it is: rounding must not starve it.
+      if (kind) add(kind, this.machinesFor(job, kind.type, tasks), unplaced ? 1 : 0);
     }
     const unused = this.unusedComing(round);
     for (const { job, tasks } of round.beyond) {
       const kind = this.cheapest(job, tasks);
       if (!kind) continue;
-      let machines = this.machinesFor(job, kind.type, tasks);
+      const machines = this.machinesFor(job, kind.type, tasks);
       // Machines that are on their way and that the plan has no use for will take some of it.
-      const coming = Math.min(machines, unused.get(kind.type.name) ?? 0);
-      unused.set(kind.type.name, (unused.get(kind.type.name) ?? 0) - coming);
-      machines -= coming;
-      const key = kindKey(kind.type.name, kind.zone, kind.spot);
-      const entry = need.get(key) ?? { kind, machines: 0, least: 0 };
-      entry.machines += machines;
-      need.set(key, entry);
+      const left = unused.get(kind.type.name) ?? 0;
+      const coming = Math.min(machines, left);
+      unused.set(kind.type.name, left - coming);
+      add(kind, machines - coming, 0);
     }
     for (const { kind, machines, least } of need.values()) {
       const rounded = Math.floor(machines + this.cluster.ctx.tuning.machines.rent_round_up);
--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -15,6 +15,8 @@
   looseCpus: number;
   looseMem: number;
   fetchS(image: ImageName, gb: number): number;
+  /** An ordinary machine of a kind that gangs wait for which need whole ones and may not use spot machines. */
+  readonly wanted: boolean;
   /** Largest share of a machine that a job needs whose image it holds. */
   readonly warmShare: number;
 }
@@ -71,6 +73,8 @@
   readonly gpuS: number;
   /** For an ordinary machine, by a job that may use a spot one: cheaper, and the others can't. */
   readonly ordinaryS: number;
+  /** For a machine that waiting gangs have no choice but to use, by an array that may use spot ones. */
+  readonly wantedS: number;
   /** For a machine that holds images of larger jobs: those would have to fetch elsewhere. */
   readonly warmS: number;
   /** Room in the future counts this much more than its time: what is expected to end often doesn't. */
@@ -233,7 +237,7 @@
 
   constructor(
     private readonly weights: Weights,
-    private readonly reluctance: Reluctance = { gpuS: 0, ordinaryS: 0, warmS: 0, doubt: 0 },
+    private readonly reluctance: Reluctance = { gpuS: 0, ordinaryS: 0, wantedS: 0, warmS: 0, doubt: 0 },
   ) {}
 
   /** `genes`: a zone for each job; null plans arrays over all of their zones at once. */
@@ -363,10 +367,10 @@
   }
 
   private reluctanceS(job: PlanJob, m: PlanMachine, share: number): number {
-    const { gpuS, ordinaryS, warmS } = this.reluctance;
+    const { gpuS, ordinaryS, wantedS, warmS } = this.reluctance;
     let s = 0;
     if (job.gpus === 0 && m.type.gpus > 0) s += gpuS;
-    if (job.spotOk && !m.spot) s += ordinaryS;
+    if (job.spotOk && !m.spot) s += m.wanted && !job.gang ? wantedS : ordinaryS;
     if (m.spot) s += job.spotDelayS;
     if (m.warmShare > share + 0.01) s += warmS;
     return s;
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -3,7 +3,15 @@
 import type { Machine } from '../fleet.js';
 import { spotDelayS } from '../hazard.js';
 import type { Job, Placement } from '../jobs.js';
-import { type JobId, type MachineType, type Resources, type Steady, steadyPlus, type ZoneName } from '../types.js';
+import {
+  type JobId,
+  type MachineType,
+  type Resources,
+  type Steady,
+  steadyPlus,
+  type TypeName,
+  type ZoneName,
+} from '../types.js';
 import { Evolution } from './evolution.js';
 import { machineShare, type Plan, type PlanJob, type PlanMachine, type PlannedStart, Planner } from './planner.js';
 import { rankValue, urgency, userWeight } from './priority.js';
@@ -92,7 +100,14 @@
   return { cpus: type.cpus - cpus - usedCpus, memGb: type.memGb - memGb - usedMem };
 }
 
-function planMachine(cluster: Cluster, m: Machine, slot: number, now: Steady, gpuWork: GpuWork): PlanMachine {
+function planMachine(
+  cluster: Cluster,
+  m: Machine,
+  slot: number,
+  now: Steady,
+  gpuWork: GpuWork,
+  wanted: ReadonlySet<TypeName>,
+): PlanMachine {
   const ready = m.phase === 'booting' ? bootingS(m, now) : 0;
   const times = [ready];
   const cpus = [m.type.cpus - m.usedCpus];
@@ -126,6 +141,7 @@
     cpus,
     gpus,
     mem,
+    wanted: !m.spot && wanted.has(m.typeName),
     fetchS: (image, gb) => m.fetchSeconds(image, gb, now),
     warmShare: warmShare(cluster, m),
   };
@@ -212,7 +228,6 @@
       machines.push(m);
   }
   const gpuWork = gpuWorkOf(cluster);
-  const planMachines = machines.map((m, slot) => planMachine(cluster, m, slot, now, gpuWork));
   const guaranteed = guaranteedTeams(cluster);
   const gathering = new Set<string>();
   let ranked: { job: Job; tasks: number; waitedS: number; first: number; value: number }[] = [];
@@ -249,6 +264,8 @@
   const jobs: Job[] = [];
   const planJobs: PlanJob[] = [];
   const zonesHere = zonesOf(planMachines);
+  const wanted = wantedTypes(cluster, ranked);
+  const planMachines = machines.map((m, slot) => planMachine(cluster, m, slot, now, gpuWork, wanted));
   const position = new Map(ranked.map((r, i) => [r.job.id, i]));
   const reserved: Reserved[] = [];
   machines.forEach((m, slot) => {
@@ -270,6 +287,7 @@
     {
       gpuS: tuning.gpu_reluctance_s,
       ordinaryS: tuning.ordinary_reluctance_s,
+      wantedS: tuning.wanted_reluctance_s,
       warmS: tuning.warm_reluctance_s,
       doubt: tuning.future_doubt,
     },
@@ -306,6 +324,18 @@
   return { capacity, jobs, planJobs, machines, beyond, started };
 }
 
+/** Types of which gangs wait for whole machines that may not be spot ones. */
+function wantedTypes(cluster: Cluster, waiting: readonly { readonly job: Job }[]): Set<TypeName> {
+  const found = new Set<TypeName>();
+  for (const { job } of waiting) {
+    if (job.spec.shape !== 'gang' || job.spec.spotOk) continue;
+    for (const t of cluster.types.values()) {
+      if (machineShare(job.spec, t) > WHOLE_SHARE && t.zones.some((z) => couldHost(job, t, z))) found.add(t.name);
+    }
+  }
+  return found;
+}
+
 /** A machine that is kept for a job, and how far ahead in the ranking that is; -1: the job is on its way there. */
 interface Reserved {
   readonly slot: number;
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -56,6 +56,7 @@
     readonly weight_idle: number;
     readonly gpu_reluctance_s: number;
     readonly ordinary_reluctance_s: number;
+    readonly wanted_reluctance_s: number;
     readonly warm_reluctance_s: number;
     readonly future_doubt: number;
     readonly overdue_share: number;
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -136,6 +136,7 @@
     mem: freeCpus < t.cpus ? [64, 64] : [64],
     looseCpus: t.cpus,
     looseMem: t.memGb,
+    wanted: false,
     fetchS: () => fetchS,
     warmShare: 0,
   };
--- a/test/sim/rules.ts
+++ b/test/sim/rules.ts
@@ -24,6 +24,7 @@
   readonly usedMachines = new Set<string>();
   private readonly submittedAt = new Map<JobId, number>();
   private readonly begunAt = new Map<JobId, number>();
+  private readonly toldDoneAt = new Map<JobId, number>();
   private readonly answeredAt = new Map<JobId, number>();
   /** When the last trouble known of is over. */
   troublesUntil = 0;
@@ -44,6 +45,11 @@
     return (this.begunAt.get(job) ?? this.clock.now) - (this.submittedAt.get(job) ?? this.clock.now);
   }
 
+  /** How long a job took until its user was told that it is done; until now if it wasn't. */
+  doneMs(job: JobId): number {
+    return (this.toldDoneAt.get(job) ?? this.clock.now) - (this.submittedAt.get(job) ?? this.clock.now);
+  }
+
   hasBegun(job: JobId): boolean {
     return this.begunAt.has(job);
   }
@@ -175,6 +181,7 @@
     if (answer.mood === 'done') {
       if (!this.isDone(job)) this.breaks('not_done', job);
       this.finals.set(job, 'done');
+      if (!this.toldDoneAt.has(job)) this.toldDoneAt.set(job, this.clock.now);
     }
     if (answer.mood === 'cancelled') {
       if (!this.cancelAsked.has(job)) this.breaks('went_back', `${job} cancelled by nobody`);
--- a/test/sim/scenario.ts
+++ b/test/sim/scenario.ts
@@ -351,6 +351,12 @@
     const told = late.map((id) => `${id} after ${(world.rules.beginMs(id as JobId) / 1000).toFixed(0)} s`);
     return late.length === 0 ? null : `not begun in time: ${told.join(', ')}`;
   },
+  /** expect done-within S JOB ...: told so, that long after it was submitted */
+  'done-within'(world, [s, ...ids]) {
+    const late = ids.filter((id) => world.rules.doneMs(id as JobId) > Number(s) * 1000);
+    const told = late.map((id) => `${id} after ${(world.rules.doneMs(id as JobId) / 1000).toFixed(0)} s`);
+    return late.length === 0 ? null : `not done in time: ${told.join(', ')}`;
+  },
   /** expect served SHARE: of every class, every team and every class's largest jobs */
   served(world, [share]) {
     const low = [...world.rules.servedShares()].filter(([, part]) => part < Number(share));
