--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -263,9 +263,9 @@
   ranked.sort((a, b) => b.first - a.first || a.value - b.value || (a.job.id < b.job.id ? -1 : 1));
   const jobs: Job[] = [];
   const planJobs: PlanJob[] = [];
-  const zonesHere = zonesOf(planMachines);
   const wanted = wantedTypes(cluster, ranked);
   const planMachines = machines.map((m, slot) => planMachine(cluster, m, slot, now, gpuWork, wanted));
+  const zonesHere = zonesOf(planMachines);
   const position = new Map(ranked.map((r, i) => [r.job.id, i]));
   const reserved: Reserved[] = [];
   machines.forEach((m, slot) => {
