--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -21,7 +21,8 @@
   if (r.token > m.tokenSeen) m.tokenSeen = r.token;
   if (!isNewer(m, r)) return false;
   // Without our token the list may be older than a command of an earlier leader that is still on its way.
-  if (r.token !== token && (m.registered || !m.accounted)) return false;
+  // And what nobody has listed may be long gone: a late copy of its list must not bring back tasks that ended.
+  if (r.token !== token && (m.registered || !m.accounted || !m.proven)) return false;
   let freed = false;
   if (m.session !== null && r.session > m.session) {
     cluster.ctx.log('info', 'worker began a new session: its tasks are gone', {
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -3,15 +3,7 @@
 import type { Machine } from '../fleet.js';
 import { spotDelayS } from '../hazard.js';
 import type { Job, Placement } from '../jobs.js';
-import {
-  type JobId,
-  type MachineType,
-  type Resources,
-  type Steady,
-  steadyPlus,
-  type TypeName,
-  type ZoneName,
-} from '../types.js';
+import type { JobId, MachineType, Resources, Steady, TypeName, ZoneName } from '../types.js';
 import { Evolution } from './evolution.js';
 import { machineShare, type Plan, type PlanJob, type PlanMachine, type PlannedStart, Planner } from './planner.js';
 import { rankValue, urgency, userWeight } from './priority.js';
@@ -33,10 +25,8 @@
 
 const NOW_S = 0.05;
 const OVERDUE_TASKS = 20;
-/** Room is kept for gangs whose tasks take more of a machine than this, if they start there within so many seconds. */
+/** A task that takes more of a machine than this needs a whole one. */
 const WHOLE_SHARE = 0.6;
-const KEEP_WITHIN_S = 45;
-const KEEP_MS = 4000;
 const TASKS_PLANNED = 400;
 /** Jobs beyond those planned in full that a round looks at for room that is free now. */
 const FILL_MOST = 250;
@@ -307,7 +297,6 @@
   const extra = rest.length > 0 ? planner.fillNow(plan, rest) : [];
   const capacity = free ?? plan;
   const started = apply(cluster, [...plan.starts, ...extra], jobs, machines);
-  keepRoom(cluster, plan, jobs, machines);
   const placed = new Map<number, number>();
   for (const s of extra) placed.set(s.job, (placed.get(s.job) ?? 0) + s.tasks);
   const beyond = rest
@@ -343,22 +332,6 @@
   readonly from: number;
 }
 
-/**
- * Whole machines hardly ever come free by themselves: estimates are wrong, and what is planned to end before a gang's start
- * often doesn't. So the machines that the plan gives to a gang soon are kept for it: nothing ranked after it starts there.
- */
-function keepRoom(cluster: Cluster, plan: Plan, jobs: readonly Job[], machines: readonly Machine[]): void {
-  const now = cluster.ctx.now.steady;
-  for (const s of plan.starts) {
-    const { id, spec, placements } = jobs[s.job] as Job;
-    const m = machines[s.machine] as Machine;
-    if (spec.shape !== 'gang' || placements.size > 0 || s.roomAtS > KEEP_WITHIN_S || m.phase !== 'up') continue;
-    if (machineShare(spec, m.type) <= WHOLE_SHARE) continue;
-    if (m.reserved && m.reserved.until > now && m.reserved.job !== id) continue;
-    m.reserved = { job: id, until: steadyPlus(now, KEEP_MS) };
-  }
-}
-
 /** For each job the zone in which a plan over all zones puts most of it. */
 function zonesChosen(plan: Plan, jobs: readonly PlanJob[]): ZoneName[] {
   const counts = jobs.map(() => new Map<ZoneName, number>());
--- a/test/sim/scenario.ts
+++ b/test/sim/scenario.ts
@@ -376,6 +376,10 @@
     const there = ids.filter((id) => world.cloud.machines.has(id as never));
     return there.length === 0 ? null : `still rented: ${there.join(' ')}`;
   },
+  /** expect leases-lost at-most N: workers whose lease ended under their tasks */
+  'leases-lost'(world, [, n]) {
+    return world.leasesLost <= Number(n) ? null : `${world.leasesLost} leases ran out under tasks, more than ${n}`;
+  },
   rented(world, [, n]) {
     return world.cloud.rentals <= Number(n) ? null : `${world.cloud.rentals} machines rented, more than ${n}`;
   },
--- a/test/sim/worker.ts
+++ b/test/sim/worker.ts
@@ -104,6 +104,7 @@
     const { lease } = this.world.settings;
     // A hanging machine executes nothing; once its lease is over, what it held can't go on.
     if (this.now - this.leaseFrom > lease) {
+      if (this.tasks.size > 0) this.world.leasesLost += 1;
       this.clear();
       this.session += 1n;
       this.seq = 0n;
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -203,6 +203,8 @@
   readonly settings = { lease: LEASE_MS, report: REPORT_MS, gangWait: 40_000, gangPeer: 5000 };
   /** Until then every report is delivered once more, late. */
   copiesUntil = 0;
+  /** Leases that ran out on workers with tasks. */
+  leasesLost = 0;
   verbose = process.env.SIM_LOG === '1';
   private readonly jobs = new Map<JobId, UserJob>();
   private readonly saved = new Map<string, number>();
