--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -3,7 +3,7 @@
 import type { Machine } from '../fleet.js';
 import { spotDelayS } from '../hazard.js';
 import type { Job, Placement } from '../jobs.js';
-import type { MachineType, Resources, Steady, ZoneName } from '../types.js';
+import type { JobId, MachineType, Resources, Steady, TypeName, ZoneName } from '../types.js';
 import { Evolution } from './evolution.js';
 import { machineShare, type Plan, type PlanJob, type PlanMachine, type PlannedStart, Planner } from './planner.js';
 import { rankValue, urgency, userWeight } from './priority.js';
@@ -25,6 +25,8 @@
 
 const NOW_S = 0.05;
 const OVERDUE_TASKS = 20;
+/** A task that takes more of a machine than this needs a whole one. */
+const WHOLE_SHARE = 0.6;
 const TASKS_PLANNED = 400;
 /** Jobs beyond those planned in full that a round looks at for room that is free now. */
 const FILL_MOST = 250;
@@ -88,7 +90,14 @@
   return { cpus: type.cpus - cpus - usedCpus, memGb: type.memGb - memGb - usedMem };
 }
 
-function planMachine(cluster: Cluster, m: Machine, slot: number, now: Steady, gpuWork: GpuWork): PlanMachine {
+function planMachine(
+  cluster: Cluster,
+  m: Machine,
+  slot: number,
+  now: Steady,
+  gpuWork: GpuWork,
+  wanted: ReadonlySet<TypeName>,
+): PlanMachine {
   const ready = m.phase === 'booting' ? bootingS(m, now) : 0;
   const times = [ready];
   const cpus = [m.type.cpus - m.usedCpus];
@@ -122,6 +131,7 @@
     cpus,
     gpus,
     mem,
+    wanted: !m.spot && wanted.has(m.typeName),
     fetchS: (image, gb) => m.fetchSeconds(image, gb, now),
     warmShare: warmShare(cluster, m),
   };
@@ -208,7 +218,6 @@
       machines.push(m);
   }
   const gpuWork = gpuWorkOf(cluster);
-  const planMachines = machines.map((m, slot) => planMachine(cluster, m, slot, now, gpuWork));
   const guaranteed = guaranteedTeams(cluster);
   const gathering = new Set<string>();
   let ranked: { job: Job; tasks: number; waitedS: number; first: number; value: number }[] = [];
@@ -244,13 +253,22 @@
   ranked.sort((a, b) => b.first - a.first || a.value - b.value || (a.job.id < b.job.id ? -1 : 1));
   const jobs: Job[] = [];
   const planJobs: PlanJob[] = [];
+  const wanted = wantedTypes(cluster, ranked);
+  const planMachines = machines.map((m, slot) => planMachine(cluster, m, slot, now, gpuWork, wanted));
   const zonesHere = zonesOf(planMachines);
-  const reserved = machines.flatMap((m, slot) => (m.reserved && m.reserved.until > now ? [{ m, slot }] : []));
+  const position = new Map(ranked.map((r, i) => [r.job.id, i]));
+  const reserved: Reserved[] = [];
+  machines.forEach((m, slot) => {
+    if (m.reserved && m.reserved.until > now)
+      reserved.push({ slot, job: m.reserved.job, from: position.get(m.reserved.job) ?? -1 });
+  });
   const bySlot = new Map(machines.map((m, slot) => [m.id as string, slot]));
   for (const { job, tasks, waitedS } of ranked.slice(0, tuning.jobs_planned + FILL_MOST)) {
     const zones = feasibleZones(cluster, job, zonesHere);
     if (zones.length === 0) continue;
-    planJobs.push(planJob(cluster, job, tasks, zones, waitedS, jobs.length, reserved, bySlot));
+    planJobs.push(
+      planJob(cluster, job, tasks, zones, waitedS, jobs.length, position.get(job.id) ?? 0, reserved, bySlot),
+    );
     jobs.push(job);
   }
   const inFull = planJobs.slice(0, tuning.jobs_planned);
@@ -259,6 +277,7 @@
     {
       gpuS: tuning.gpu_reluctance_s,
       ordinaryS: tuning.ordinary_reluctance_s,
+      wantedS: tuning.wanted_reluctance_s,
       warmS: tuning.warm_reluctance_s,
       doubt: tuning.future_doubt,
     },
@@ -294,6 +313,25 @@
   return { capacity, jobs, planJobs, machines, beyond, started };
 }
 
+/** Types of which gangs wait for whole machines that may not be spot ones. */
+function wantedTypes(cluster: Cluster, waiting: readonly { readonly job: Job }[]): Set<TypeName> {
+  const found = new Set<TypeName>();
+  for (const { job } of waiting) {
+    if (job.spec.shape !== 'gang' || job.spec.spotOk) continue;
+    for (const t of cluster.types.values()) {
+      if (machineShare(job.spec, t) > WHOLE_SHARE && t.zones.some((z) => couldHost(job, t, z))) found.add(t.name);
+    }
+  }
+  return found;
+}
+
+/** A machine that is kept for a job, and how far ahead in the ranking that is; -1: the job is on its way there. */
+interface Reserved {
+  readonly slot: number;
+  readonly job: JobId;
+  readonly from: number;
+}
+
 /** For each job the zone in which a plan over all zones puts most of it. */
 function zonesChosen(plan: Plan, jobs: readonly PlanJob[]): ZoneName[] {
   const counts = jobs.map(() => new Map<ZoneName, number>());
@@ -328,7 +366,8 @@
   zones: ZoneName[],
   waitedS: number,
   slot: number,
-  reserved: readonly { readonly m: Machine; readonly slot: number }[],
+  rankedAt: number,
+  reserved: readonly Reserved[],
   bySlot: ReadonlyMap<string, number>,
 ): PlanJob {
   const { spec } = job;
@@ -339,7 +378,7 @@
     zoneRoom = new Map(zones.map((z) => [z, Math.max(0, job.zoneLimit - (counts.get(z) ?? 0))]));
   }
   const avoid = new Set<number>();
-  for (const { m, slot: reservedSlot } of reserved) if (m.reserved?.job !== job.id) avoid.add(reservedSlot);
+  for (const r of reserved) if (r.job !== job.id && r.from < rankedAt) avoid.add(r.slot);
   if (job.failedOn.size > 0 && job.failedOn.size < 3) {
     for (const id of job.failedOn) {
       const failed = bySlot.get(id);
