--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -53,6 +53,8 @@
   readonly longOn = new Set<string>();
   /** How often it was moved to machines that hold its image. */
   moves = 0;
+  /** How often lower work was stopped for it. */
+  preempted = 0;
   private scan = 0;
 
   constructor(record: JobRecord, version: Revision) {
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -10,6 +10,7 @@
 import { MACHINE_PREFIX, type MachineRecord } from './records.js';
 import { Registry } from './registry.js';
 import { moveToCached } from './scheduler/moves.js';
+import { preempt } from './scheduler/preempt.js';
 import { scheduleRound } from './scheduler/round.js';
 import { type JobId, type MachineType, type Steady, steadyPlus, type TypeName, type WorkerReport } from './types.js';
 import { Upkeep } from './upkeep.js';
@@ -200,6 +201,7 @@
     this.rounds += 1;
     const result = scheduleRound(this.cluster, (this.seed + this.rounds * 7919) | 0);
     moveToCached(this.cluster);
+    preempt(this.cluster, result);
     this.scaler.consider(result);
     this.ledger.flush();
     this.beats.release();
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -146,7 +146,7 @@
   return most;
 }
 
-function couldHost(job: Job, type: MachineType, zone: ZoneName): boolean {
+export function couldHost(job: Job, type: MachineType, zone: ZoneName): boolean {
   const { spec } = job;
   return (
     (spec.types === null || spec.types.includes(type.name)) &&
@@ -256,19 +256,15 @@
   const wanted = wantedTypes(cluster, ranked);
   const planMachines = machines.map((m, slot) => planMachine(cluster, m, slot, now, gpuWork, wanted));
   const zonesHere = zonesOf(planMachines);
-  const position = new Map(ranked.map((r, i) => [r.job.id, i]));
   const reserved: Reserved[] = [];
   machines.forEach((m, slot) => {
-    if (m.reserved && m.reserved.until > now)
-      reserved.push({ slot, job: m.reserved.job, from: position.get(m.reserved.job) ?? -1 });
+    if (m.reserved && m.reserved.until > now) reserved.push({ slot, job: m.reserved.job });
   });
   const bySlot = new Map(machines.map((m, slot) => [m.id as string, slot]));
   for (const { job, tasks, waitedS } of ranked.slice(0, tuning.jobs_planned + FILL_MOST)) {
     const zones = feasibleZones(cluster, job, zonesHere);
     if (zones.length === 0) continue;
-    planJobs.push(
-      planJob(cluster, job, tasks, zones, waitedS, jobs.length, position.get(job.id) ?? 0, reserved, bySlot),
-    );
+    planJobs.push(planJob(cluster, job, tasks, zones, waitedS, jobs.length, reserved, bySlot));
     jobs.push(job);
   }
   const inFull = planJobs.slice(0, tuning.jobs_planned);
@@ -325,11 +321,10 @@
   return found;
 }
 
-/** A machine that is kept for a job, and how far ahead in the ranking that is; -1: the job is on its way there. */
+/** A machine that is kept for a job on its way there. */
 interface Reserved {
   readonly slot: number;
   readonly job: JobId;
-  readonly from: number;
 }
 
 /** For each job the zone in which a plan over all zones puts most of it. */
@@ -366,7 +361,6 @@
   zones: ZoneName[],
   waitedS: number,
   slot: number,
-  rankedAt: number,
   reserved: readonly Reserved[],
   bySlot: ReadonlyMap<string, number>,
 ): PlanJob {
@@ -378,7 +372,7 @@
     zoneRoom = new Map(zones.map((z) => [z, Math.max(0, job.zoneLimit - (counts.get(z) ?? 0))]));
   }
   const avoid = new Set<number>();
-  for (const r of reserved) if (r.job !== job.id && r.from < rankedAt) avoid.add(r.slot);
+  for (const r of reserved) if (r.job !== job.id) avoid.add(r.slot);
   if (job.failedOn.size > 0 && job.failedOn.size < 3) {
     for (const id of job.failedOn) {
       const failed = bySlot.get(id);
