--- a/test/scenarios.test.ts
+++ b/test/scenarios.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
-import { readdirSync } from 'node:fs';
+import { mkdtempSync, readdirSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
@@ -16,3 +17,15 @@
     assert.deepEqual([...failures, ...world.errors], []);
   });
 }
+
+test('bad input in a scenario file ends the runner with file and line', () => {
+  const file = join(mkdtempSync(join(tmpdir(), 'scenario-')), 'bad.txt');
+  const fails = (text: string, said: RegExp): void => {
+    writeFileSync(file, text);
+    assert.throws(() => runScenario(parseScenario(file)), said);
+  };
+  fails('# title\nmachine 2 c8 a\n', /bad\.txt:2: no statement machine/);
+  fails('# title\nuntil 1\nat 0 explode all\n', /bad\.txt:3: no event explode/);
+  fails('# title\nuntil 1\nexpect luck\n', /bad\.txt:3: no check luck/);
+  fails('# title\nmachines 2 c9 a\n', /bad\.txt:2: no machine type c9/);
+});
--- a/test/sim/scenario.ts
+++ b/test/sim/scenario.ts
@@ -25,10 +25,24 @@
  *   expect CHECK ...      (see `checks` below; "rules kept" is always checked)
  */
 export interface Scenario {
+  readonly file: string;
   readonly title: string;
   readonly lines: readonly { n: number; words: string[] }[];
 }
 
+const STATEMENTS = new Set([
+  'seed',
+  'nodes',
+  'zones',
+  'capacity',
+  'machines',
+  'team',
+  'at',
+  'every',
+  'until',
+  'expect',
+]);
+
 export function parseScenario(file: string): Scenario {
   const lines: { n: number; words: string[] }[] = [];
   let title = file;
@@ -37,9 +51,11 @@
     .forEach((line, i) => {
       if (i === 0 && line.startsWith('#')) title = line.slice(1).trim();
       const words = line.replace(/#.*/, '').trim().split(/\s+/).filter(Boolean);
-      if (words.length > 0) lines.push({ n: i + 1, words });
+      if (words.length === 0) return;
+      if (!STATEMENTS.has(words[0] as string)) throw new Error(`${file}:${i + 1}: no statement ${words[0]}`);
+      lines.push({ n: i + 1, words });
     });
-  return { title, lines };
+  return { file, title, lines };
 }
 
 const TYPES: MachineType[] = [
@@ -141,22 +157,22 @@
     capacity: Number(value('capacity') ?? 8),
     tuning,
   });
-  for (const { words } of s.lines.filter((l) => l.words[0] === 'machines')) {
+  for (const { n, words } of s.lines.filter((l) => l.words[0] === 'machines')) {
     const type = types.find((t) => t.name === words[2]);
-    if (!type) throw new Error(`no machine type ${words[2]}`);
+    if (!type) throw new Error(`${s.file}:${n}: no machine type ${words[2]}`);
     for (let i = 0; i < Number(words[1]); i++) world.cloud.add(type, words[3] as ZoneName, words[4] === 'spot', 1);
   }
   world.startNodes();
   const failures: string[] = [];
   for (const { n, words } of s.lines.filter((l) => l.words[0] === 'at')) {
     const event = events[words[2] ?? ''];
-    if (!event) throw new Error(`line ${n}: no event ${words[2]}`);
+    if (!event) throw new Error(`${s.file}:${n}: no event ${words[2]}`);
     world.clock.in(Number(words[1]) * 1000, () => event(world, words.slice(3)));
   }
   for (const { n, words } of s.lines.filter((l) => l.words[0] === 'every')) {
     const [from, to, step] = words.slice(1, 4).map(Number) as [number, number, number];
     const event = events[words[4] ?? ''];
-    if (!event) throw new Error(`line ${n}: no event ${words[4]}`);
+    if (!event) throw new Error(`${s.file}:${n}: no event ${words[4]}`);
     for (let at = from; at <= to; at += step) {
       world.clock.in(at * 1000, () => event(world, [`${words[5]}${at}`, ...words.slice(6)]));
     }
@@ -165,7 +181,7 @@
   failures.push(...world.rules.broken);
   for (const { n, words } of s.lines.filter((l) => l.words[0] === 'expect')) {
     const check = checks[words[1] ?? ''];
-    if (!check) throw new Error(`line ${n}: no check ${words[1]}`);
+    if (!check) throw new Error(`${s.file}:${n}: no check ${words[1]}`);
     const problem = check(world, words.slice(2));
     if (problem) failures.push(`line ${n}: ${problem}`);
   }
