--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -388,6 +388,8 @@
         types.set(m.type, share);
       }
       if (share < 0) continue;
+      // Most machines with GPUs have nothing loose: looking no further there is a third of the cost of small work.
+      if (job.gpus === 0 && m.type.gpus > 0 && (m.looseCpus + EPS < job.cpus || m.looseMem + EPS < job.memGb)) continue;
       found.push({
         slot,
         machine: m,
