A report costs less than half: decoded without spreads, answered by light responses

On loopback one report of eight tasks cost a follower 450 us of processor time on a busy machine; 70 of them went into one object spread per task in decodeTask (reading a report is now 6), 110 into Node's web Response, which leaves as a stream. Ruled out: cbor-x itself (13 us). Also one handler a path, so that no chain of handlers is built. Before 450 us, after 200 us a report, same machine, same load (loopback, twice each).

--- a/src/io/front.ts
+++ b/src/io/front.ts
@@ -15,20 +15,20 @@
 }
 
 const BODY_MAX = 64 * 1024;
-const CBOR = { 'content-type': 'application/cbor' };
+
+const PATHS = [/^\/up$/, /^\/agent\/beat$/, /^\/v2\/runs(\/[^/]+(\/withdraw)?)?$/];
 
 type Env = { Bindings: HttpBindings };
 type C = HonoContext<Env>;
 
-function reply(status: number, body: Fields, headers: Record<string, string> = {}): Response {
-  return new Response(encode(body) as Uint8Array<ArrayBuffer>, { status, headers: { ...CBOR, ...headers } });
+function reply(status: number, body: Fields, retryAfterS = 0): Response {
+  const headers: Record<string, string> = { 'content-type': 'application/cbor' };
+  if (retryAfterS > 0) headers['retry-after'] = String(retryAfterS);
+  return new Response(encode(body) as Uint8Array<ArrayBuffer>, { status, headers });
 }
 
-function replyUser(answer: UserAnswer): Response {
-  const wait: Record<string, string> = {};
-  if ('retryAfterS' in answer && answer.retryAfterS) wait['retry-after'] = String(answer.retryAfterS);
-  return reply(answer.status, encodeUserAnswer(answer), wait);
-}
+const replyUser = (a: UserAnswer): Response =>
+  reply(a.status, encodeUserAnswer(a), 'retryAfterS' in a ? a.retryAfterS : 0);
 
 /**
  * The body as Node gives it. Going through a web stream costs two thirds of what a whole report costs, and reports are most
@@ -112,16 +112,19 @@
   });
   app.get('/v2/runs/:id', (c) => onJob(c, (id) => ({ op: 'poll', id })));
   app.post('/v2/runs/:id/withdraw', (c) => onJob(c, (id) => ({ op: 'cancel', id })));
-  for (const path of ['/up', '/agent/beat', '/v2/runs', '/v2/runs/:id', '/v2/runs/:id/withdraw']) {
-    app.all(path, () => reply(405, { error: 'method not allowed' }));
-  }
-  app.notFound(() => reply(404, { error: 'no such path' }));
+  // One handler a path and method: a second that matches would send every report through hono's chain of handlers.
+  app.notFound((c) => {
+    if (PATHS.some((p) => p.test(c.req.path))) return reply(405, { error: 'method not allowed' });
+    return reply(404, { error: 'no such path' });
+  });
   app.onError((e) => {
     handlers.malformed(`request: ${e.message}`);
     return reply(500, { error: 'internal error' });
   });
 
-  const listener = getRequestListener(app.fetch, { overrideGlobalObjects: false });
+  // The adapter's own light Response (it stands for the global one) goes out in one write: Node's, a web stream, costs a
+  // quarter of what a whole report does.
+  const listener = getRequestListener(app.fetch);
   const server = createServer({ keepAliveTimeout: 120_000, noDelay: true }, (req, res) => {
     void listener(req, res);
   });
--- a/src/io/wire.ts
+++ b/src/io/wire.ts
@@ -78,6 +78,7 @@
 const TASKS_MAX = 100_000;
 
 const JOB_ID = /^job-\d{1,32}$/;
+const TASK_NUMBER = /^\d{1,6}$/;
 
 export function jobId(s: unknown): JobId | null {
   return typeof s === 'string' && JOB_ID.test(s) ? (s as JobId) : null;
@@ -125,19 +126,18 @@
 
 // ---- workers
 
-function taskName(s: string): { job: JobId; index: number } {
-  const slash = s.lastIndexOf('/');
-  const job = jobId(s.slice(0, slash));
-  const number = s.slice(slash + 1);
-  if (!job || !/^\d{1,6}$/.test(number)) throw new WireError('chick is not a task');
-  return { job, index: Number(number) };
-}
-
 function decodeTask(raw: unknown): TaskReport {
   const f = fields(raw, 'chick');
   const phase = oneOf(f, 'mood', PHASES);
+  const name = text(f, 'chick');
+  const slash = name.lastIndexOf('/');
+  const job = jobId(name.slice(0, slash));
+  const number = name.slice(slash + 1);
+  if (!job || !TASK_NUMBER.test(number)) throw new WireError('chick is not a task');
+  // Every field by itself: spreading an object into this one took eight of every ten microseconds of reading a report.
   return {
-    ...taskName(text(f, 'chick')),
+    job,
+    index: Number(number),
     attempt: uint(f, 'hop') as Attempt,
     phase,
     reason: phase === 'exited' ? oneOf(f, 'cause', REASONS) : null,
