Filling a round looks only where something could begin; plan copies without spreads

Now a machine counts as free only if the least that any of them asks for fits, and a job that asks for no less than one that found nothing is passed over.

--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -90,8 +90,23 @@
 const EPS = 1e-6;
 const UNPLACED_S = 600;
 
+/** Field by field: a spread into a literal that goes on costs several microseconds, and a round makes thousands. */
 export function cloneMachine(m: PlanMachine): PlanMachine {
-  return { ...m, times: m.times.slice(), cpus: m.cpus.slice(), gpus: m.gpus.slice(), mem: m.mem.slice() };
+  return {
+    slot: m.slot,
+    zone: m.zone,
+    type: m.type,
+    spot: m.spot,
+    times: m.times.slice(),
+    cpus: m.cpus.slice(),
+    gpus: m.gpus.slice(),
+    mem: m.mem.slice(),
+    looseCpus: m.looseCpus,
+    looseMem: m.looseMem,
+    fetchS: m.fetchS,
+    wanted: m.wanted,
+    warmShare: m.warmShare,
+  };
 }
 
 /** The part of a machine that one task takes, by what it takes most of. */
@@ -140,6 +155,40 @@
   return loose + EPS < 1 ? 0 : Math.min(Math.floor(loose + EPS), fitCount(m, k, needS, r));
 }
 
+/** For jobs with and without GPUs, the least that any of them asks for of each resource. */
+function leastOf(jobs: readonly PlanJob[]): Resources[] {
+  const least: Resources[] = [];
+  for (const gpu of [true, false]) {
+    const alike = jobs.filter((j) => j.gpus > 0 === gpu);
+    if (alike.length === 0) continue;
+    const of = (ask: (j: PlanJob) => number): number => alike.reduce((n, j) => Math.min(n, ask(j)), Infinity);
+    least.push({ cpus: of((j) => j.cpus), gpus: of((j) => j.gpus), memGb: of((j) => j.memGb) });
+  }
+  return least;
+}
+
+/** Whether so much is free at the first step, not asking for how long. */
+function fitsNow(m: PlanMachine, r: Resources): boolean {
+  if (r.gpus === 0 && m.type.gpus > 0 && (m.looseCpus + EPS < r.cpus || m.looseMem + EPS < r.memGb)) return false;
+  return at(m.cpus, 0) + EPS >= r.cpus && at(m.gpus, 0) + EPS >= r.gpus && at(m.mem, 0) + EPS >= r.memGb;
+}
+
+/** Whether `a` can begin only where `b` could: it asks for no less, for no shorter, and may go to no more places. */
+function asksNoLess(a: PlanJob, b: PlanJob): boolean {
+  return (
+    a.cpus >= b.cpus &&
+    a.gpus >= b.gpus &&
+    a.gpus > 0 === b.gpus > 0 &&
+    a.memGb >= b.memGb &&
+    a.durationS >= b.durationS &&
+    (b.spotOk || !a.spotOk) &&
+    (b.types === null || (a.types?.every((t) => b.types?.includes(t)) ?? false)) &&
+    a.zones.every((z) => b.zones.includes(z)) &&
+    b.avoid === null &&
+    (!b.gang || (a.gang && a.tasks >= b.tasks && (a.sameZone || !b.sameZone)))
+  );
+}
+
 /** Room left in the scarcest resource after `n` tasks, as a share of the machine: best fit takes the least. */
 function slack(m: PlanMachine, k: number, n: number, r: Resources): number {
   let least = 1;
@@ -281,13 +330,15 @@
   fillNow(plan: Plan, jobs: readonly PlanJob[]): PlannedStart[] {
     this.begin(plan.machines);
     const free = new Set<number>();
-    const hasRoom = (m: PlanMachine): boolean =>
-      at(m.times, 0) <= EPS && at(m.cpus, 0) > EPS && at(m.mem, 0) > EPS && (m.type.gpus === 0 || at(m.gpus, 0) > EPS);
+    const least = leastOf(jobs);
+    const hasRoom = (m: PlanMachine): boolean => at(m.times, 0) <= EPS && least.some((r) => fitsNow(m, r));
     for (const m of this.machines) if (hasRoom(m)) free.add(m.slot);
+    const failed: PlanJob[] = [];
     const starts: PlannedStart[] = [];
     for (const job of jobs) {
       if (free.size === 0) break;
-      if (job.zoneRoom) continue;
+      // Room only shrinks here: what asks for as much as a job that found none finds none either.
+      if (job.zoneRoom || failed.some((f) => asksNoLess(job, f))) continue;
       const from = starts.length;
       const candidates = this.candidates(job, [...free]);
       if (job.gang) {
@@ -315,6 +366,7 @@
           left -= n;
         }
       }
+      if (starts.length === from) failed.push(job);
       for (let i = from; i < starts.length; i++) {
         const { machine } = starts[i] as PlannedStart;
         if (!hasRoom(this.machines[machine] as PlanMachine)) free.delete(machine);
