--- a/src/core/beats.ts
+++ b/src/core/beats.ts
@@ -16,6 +16,9 @@
 const OLD_TOKEN_ANSWERS = 4;
 const PROBE_MS = 3000;
 const FENCES_AT_ONCE = 24;
+/** When many machines fall silent together, calls to them must not take all sockets, nor keep the others from theirs. */
+const DIRECTS_AT_ONCE = 64;
+const SILENT_PAUSE_MS = 5000;
 
 export type BeatReply = (answer: WorkerAnswer) => void;
 
@@ -126,6 +129,7 @@
     for (const m of this.cluster.machines.values()) {
       if ((m.deafSince === null && m.proven) || m.phase !== 'up' || m.probeAt > now) continue;
       if (m.directInFlight || !m.addr || m.deleting) continue;
+      if (this.ctx.workerCallsOpen >= DIRECTS_AT_ONCE) return;
       m.probeAt = this.at(PROBE_MS);
       this.call(m, m.session ?? (1n as Session), 0, () => {});
     }
@@ -327,11 +331,13 @@
         continue;
       }
       again = true;
-      if (m.directInFlight) continue;
+      if (m.directInFlight || m.directNotBefore > this.ctx.now.steady) continue;
+      if (this.ctx.workerCallsOpen >= DIRECTS_AT_ONCE) break;
       m.directInFlight = true;
       const { session } = m;
       this.ctx.worker({ addr: m.addr, token: this.leadership.token, session, commands }, (r) => {
         m.directInFlight = false;
+        if (!r.ok) m.directNotBefore = this.at(SILENT_PAUSE_MS);
         if (this.stopped || !r.ok || r.value.report.machine !== m.id) return;
         if (this.cluster.machines.get(m.id) !== m) return;
         this.takeReport(m, r.value.report, false);
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -139,6 +139,11 @@
     this.outputs.push({ kind: 'worker', call, op });
   }
 
+  /** Direct calls without an answer so far: each holds a socket, and one to a silent machine for seconds. */
+  get workerCallsOpen(): number {
+    return this.workerCalls.size;
+  }
+
   peer(to: NodeName, message: PeerMessage): void {
     this.outputs.push({ kind: 'peer', to, message });
   }
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -77,6 +77,8 @@
   returning = false;
   countedLost = false;
   directInFlight = false;
+  /** It left a direct command without an answer: no other before this time. */
+  directNotBefore = 0 as Steady;
   /** Kept for a moment for a job that is on its way here. */
   reserved: { readonly job: JobId; readonly until: Steady } | null = null;
   readonly placements = new Map<TaskKey, Placement>();
--- /dev/null
+++ b/test/sim/meters.ts
@@ -0,0 +1,70 @@
+import type { PeerMessage, StoreOp } from '../../src/core/messages.js';
+import { encodeFrame } from '../../src/io/peer_codec.js';
+import type { Clock } from './clock.js';
+
+/** The most of something in any one second. */
+class PerSecond {
+  most = 0;
+  private second = -1;
+  private n = 0;
+
+  add(now: number, n: number): void {
+    const second = Math.floor(now / 1000);
+    if (second !== this.second) this.n = 0;
+    this.second = second;
+    this.n += n;
+    if (this.n > this.most) this.most = this.n;
+  }
+}
+
+/** What the controllers use of what is scarce, counted and never timed: the same on every machine. */
+export class Meters {
+  private readonly storeCalls = new PerSecond();
+  private readonly storeChanges = new PerSecond();
+  private readonly cloudCalls = new PerSecond();
+  private directNow = 0;
+  /** Plan steps of the dearest round, and of all. */
+  steps = 0;
+  allSteps = 0;
+  rounds = 0;
+  directs = 0;
+  frameBytes = 0;
+
+  constructor(private readonly clock: Clock) {}
+
+  get calls(): number {
+    return this.storeCalls.most;
+  }
+
+  get changes(): number {
+    return this.storeChanges.most;
+  }
+
+  get cloud(): number {
+    return this.cloudCalls.most;
+  }
+
+  storeOp(op: StoreOp): void {
+    this.storeCalls.add(this.clock.now, 1);
+    if (op.op === 'txn') this.storeChanges.add(this.clock.now, op.changes.length);
+  }
+
+  cloudOp(): void {
+    this.cloudCalls.add(this.clock.now, 1);
+  }
+
+  direct(n: number): void {
+    this.directNow += n;
+    this.directs = Math.max(this.directs, this.directNow);
+  }
+
+  frame(message: PeerMessage): void {
+    this.frameBytes = Math.max(this.frameBytes, encodeFrame(message).length);
+  }
+
+  round(fields: Record<string, unknown>): void {
+    this.rounds += 1;
+    this.allSteps += Number(fields.steps);
+    this.steps = Math.max(this.steps, Number(fields.steps));
+  }
+}
--- a/test/sim/scenario.ts
+++ b/test/sim/scenario.ts
@@ -13,11 +13,12 @@
   TypeName,
   ZoneName,
 } from '../../src/core/types.js';
-import { World } from './world.js';
+import { LIMITS, type Limits, World } from './world.js';
 
 /*
  * A scenario is a text file, one statement a line, `#` for comments:
  *   seed N | nodes N | zones a b | capacity N | machines N TYPE ZONE [spot]
+ *   limits key=value ...   (what the deployment allows: rps, writeRps, valueBytes, txnOps, cloudRps, reportMs, ...)
  *   team NAME key=value ...
  *   at S EVENT ...        (see `events` below)
  *   every FROM TO STEP EVENT ...   (the time is added to the first word, a job's id)
@@ -35,6 +36,7 @@
   'nodes',
   'zones',
   'capacity',
+  'limits',
   'machines',
   'team',
   'at',
@@ -125,6 +127,17 @@
   };
 }
 
+function readLimits(s: Scenario): Limits {
+  const limits: Record<keyof Limits, number> = { ...LIMITS };
+  for (const { n, words } of s.lines.filter((l) => l.words[0] === 'limits')) {
+    for (const [key, value] of Object.entries(readOptions(words.slice(1)))) {
+      if (!(key in limits)) throw new Error(`${s.file}:${n}: no limit ${key}`);
+      limits[key as keyof Limits] = Number(value);
+    }
+  }
+  return limits;
+}
+
 export interface Outcome {
   readonly world: World;
   readonly failures: string[];
@@ -156,6 +169,7 @@
     types,
     capacity: Number(value('capacity') ?? 8),
     tuning,
+    limits: readLimits(s),
   });
   for (const { n, words } of s.lines.filter((l) => l.words[0] === 'machines')) {
     const type = types.find((t) => t.name === words[2]);
@@ -208,6 +222,12 @@
   const all = [...world.workers.values()];
   if (which === 'all') return all;
   if (which === 'busy') return all.filter((w) => w.tasks.size > 0).slice(0, 1);
+  if (which?.startsWith('some:')) {
+    // So many of them, spread over all.
+    const step = Math.max(1, Math.floor(all.length / Number(which.slice(5))));
+    const from = Math.floor(world.clock.between(0, step));
+    return all.filter((_, i) => i % step === from % step).slice(0, Number(which.slice(5)));
+  }
   return all.filter((w) => w.id === which);
 }
 
@@ -246,6 +266,10 @@
       world.clock.in(lasts(world, back ?? '3'), () => n.start());
     }
   },
+  /** freeze NODE|leader|all S: it stands still while its clocks run on */
+  freeze(world, [which, s]) {
+    for (const n of nodesNamed(world, which)) n.freeze(lasts(world, s));
+  },
   outage(world, [s]) {
     world.state.outage(lasts(world, s));
   },
@@ -339,6 +363,17 @@
   },
 };
 
+/** What `expect most` can ask for. Calls and changes are of the busiest second, of all nodes together. */
+const METERS: Readonly<Record<string, (world: World) => number>> = {
+  'steps-a-round': (w) => w.meters.steps,
+  'state-calls': (w) => w.meters.calls,
+  'state-changes': (w) => w.meters.changes,
+  'cloud-calls': (w) => w.meters.cloud,
+  'direct-calls-open': (w) => w.meters.directs,
+  'value-bytes': (w) => w.state.longest,
+  'frame-bytes': (w) => w.meters.frameBytes,
+};
+
 type Check = (world: World, words: string[]) => string | null;
 
 const checks: Readonly<Record<string, Check>> = {
@@ -403,6 +438,13 @@
   machines(world, [, n]) {
     return world.cloud.machines.size <= Number(n) ? null : `${world.cloud.machines.size} machines, more than ${n}`;
   },
+  /** expect most WHAT N: what the controllers used of what is scarce, see `METERS` */
+  most(world, [what, n]) {
+    const meter = METERS[what ?? ''];
+    if (!meter) return `no meter ${what}`;
+    const used = meter(world);
+    return used <= Number(n) ? null : `${what}: ${used}, more than ${n}`;
+  },
   empty(world) {
     const left = [...world.rules.on.values()].reduce((sum, tasks) => sum + tasks.size, 0);
     return left === 0 ? null : `${left} tasks still on machines`;
--- a/test/sim/state_service.ts
+++ b/test/sim/state_service.ts
@@ -23,6 +23,8 @@
   private down = false;
   readonly refused = new Set<string>();
   writes = 0;
+  /** The longest value that was written, as text. */
+  longest = 0;
   /** Called before an operation is carried out and once more before its answer leaves. */
   onOp: (from: string, op: StoreOp, carriedOut: boolean) => void = () => {};
 
@@ -130,7 +132,9 @@
     for (const c of op.changes) {
       if ('drop' in c) continue;
       if (c.lease !== undefined && !this.leases.has(c.lease)) return no('rejected');
-      if (JSON.stringify(c.value).length > this.limits.valueBytes) return no('rejected');
+      const bytes = JSON.stringify(c.value).length;
+      if (bytes > this.limits.valueBytes) return no('rejected');
+      if (bytes > this.longest) this.longest = bytes;
     }
     const failed = op.conditions.filter((c) => (this.items.get(c.key)?.item.version ?? 0n) !== c.version);
     if (failed.length > 0) return { ok: false, why: 'conflict', keys: failed.map((c) => c.key) };
@@ -154,8 +158,11 @@
   }
 
   private watch(from: string, prefix: string, after: Revision, waitMs: number, reply: Reply): void {
-    const news = (): StoreEvent[] =>
-      this.events.filter((e) => e.version > after && ('drop' in e ? e.drop : e.put).startsWith(prefix));
+    const news = (): StoreEvent[] => {
+      let from = this.events.length;
+      while (from > 0 && (this.events[from - 1] as StoreEvent).version > after) from -= 1;
+      return this.events.slice(from).filter((e) => ('drop' in e ? e.drop : e.put).startsWith(prefix));
+    };
     let open = true;
     const answer = (): void => {
       open = false;
--- a/test/sim/worker.ts
+++ b/test/sim/worker.ts
@@ -16,7 +16,7 @@
 } from '../../src/core/types.js';
 import type { World } from './world.js';
 
-interface Task {
+export interface Task {
   readonly job: JobId;
   readonly index: number;
   readonly attempt: Attempt;
@@ -83,7 +83,10 @@
   }
 
   private clear(): void {
-    for (const t of this.tasks.values()) if (t.phase !== 'exited') this.leave(t);
+    for (const t of this.tasks.values()) {
+      if (t.phase !== 'exited') this.leave(t);
+      this.world.forgetMate(this, t);
+    }
     this.tasks.clear();
   }
 
@@ -265,7 +268,10 @@
     const key = `${c.job}/${c.index}`;
     const t = this.tasks.get(key);
     if (c.op === 'forget') {
-      if (t && t.attempt === c.attempt && t.phase === 'exited') this.tasks.delete(key);
+      if (t && t.attempt === c.attempt && t.phase === 'exited') {
+        this.tasks.delete(key);
+        this.world.forgetMate(this, t);
+      }
     } else if (c.op === 'stop') {
       if (t && t.attempt === c.attempt) this.stop(t, c.graceS);
     } else if (!t || t.attempt !== c.attempt) this.start(c.job, c.index, c.attempt, t);
@@ -309,7 +315,9 @@
       cpus += other.cpus;
       gpus += other.gpus;
     }
+    if (old) this.world.forgetMate(this, old);
     this.tasks.set(`${job}/${index}`, t);
+    this.world.addMate(this, t);
     this.changed = true;
     if (cpus > this.type.cpus || gpus > this.type.gpus) {
       t.phase = 'exited';
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -27,10 +27,39 @@
 } from '../../src/core/types.js';
 import { Clock } from './clock.js';
 import { Cloud } from './cloud.js';
+import { Meters } from './meters.js';
 import { Network } from './network.js';
 import { Rules } from './rules.js';
 import { StateService } from './state_service.js';
-import { Worker } from './worker.js';
+import { type Task, Worker } from './worker.js';
+
+/** What a deployment allows and asks, as its settings say it. */
+export interface Limits {
+  readonly rps: number;
+  readonly writeRps: number;
+  readonly valueBytes: number;
+  readonly txnOps: number;
+  readonly cloudRps: number;
+  readonly reportMs: number;
+  readonly leaseMs: number;
+  readonly cancelMs: number;
+}
+
+export const LIMITS: Limits = {
+  rps: 200,
+  writeRps: 20,
+  valueBytes: 8192,
+  txnOps: 8,
+  cloudRps: 5,
+  reportMs: 2000,
+  leaseMs: 14_000,
+  cancelMs: 39_000,
+};
+
+interface Mate {
+  readonly worker: Worker;
+  readonly task: Task;
+}
 
 export interface WorldOptions {
   readonly seed: number;
@@ -40,12 +69,9 @@
   readonly types: readonly MachineType[];
   readonly capacity: number;
   readonly tuning: Tuning;
+  readonly limits?: Limits;
 }
 
-const LEASE_MS = 14_000;
-const REPORT_MS = 2000;
-const CANCEL_MS = 39_000;
-
 /** A controller process as the world runs it: killed without a word, started again with nothing. */
 class Controller {
   private node: Node | null = null;
@@ -54,6 +80,8 @@
   private timerSeq = 0;
   private starts = 0;
   private epoch = 0;
+  private frozenUntil = 0;
+  private waiting: Input[] = [];
 
   constructor(
     private readonly world: World,
@@ -66,6 +94,7 @@
   }
 
   get healthy(): boolean {
+    if (this.world.clock.now < this.frozenUntil) return false;
     return this.node?.healthy(this.now().steady) ?? false;
   }
 
@@ -86,6 +115,8 @@
 
   crash(): void {
     this.node = null;
+    this.frozenUntil = 0;
+    this.waiting = [];
     this.waits.clear();
     this.epoch += 1;
   }
@@ -95,9 +126,30 @@
     return { steady: t as Steady, wall: (1_790_000_000_000 + t) as Wall };
   }
 
+  /** The process stands still while its clocks run on; what comes meanwhile waits in its sockets. */
+  freeze(ms: number): void {
+    if (!this.node) return;
+    const { epoch, world } = this;
+    this.frozenUntil = world.clock.now + ms;
+    world.clock.in(ms, () => {
+      if (epoch !== this.epoch) return;
+      const waited = this.waiting;
+      this.waiting = [];
+      // Either comes first on waking: timers that are due, or what was read from the sockets.
+      const timerFirst = world.clock.between(0, 1) < 0.5;
+      if (timerFirst) this.step({ kind: 'timer' });
+      for (const input of waited) this.step(input);
+      if (!timerFirst) this.step({ kind: 'timer' });
+    });
+  }
+
   step(input: Input): void {
     const { node } = this;
     if (!node) return;
+    if (this.world.clock.now < this.frozenUntil) {
+      if (input.kind !== 'timer') this.waiting.push(input);
+      return;
+    }
     const outputs = node.step(this.now(), input);
     for (const o of outputs) this.carryOut(o);
     const next = node.nextTimer();
@@ -131,6 +183,7 @@
         const done = this.mine((r: Result<StoreValue> | null) =>
           this.step({ kind: 'storeReply', call: o.call, result: r ?? { ok: false, why: 'unknown' } }),
         );
+        world.meters.storeOp(o.op);
         network.call(this.name, 'state', o.timeoutMs, (reply) => world.state.serve(this.name, o.op, reply), done);
         break;
       }
@@ -138,27 +191,35 @@
         const done = this.mine((r: Parameters<Parameters<Cloud['serve']>[1]>[0] | null) =>
           this.step({ kind: 'cloudReply', call: o.call, result: r ?? { ok: false, why: 'unknown' } }),
         );
+        world.meters.cloudOp();
         network.call(this.name, 'cloud', 4000, (reply) => world.cloud.serve(o.op, reply), done);
         break;
       }
       case 'worker': {
-        const done = this.mine((r: WorkerValue | null) =>
+        const carriedOut = this.mine((r: WorkerValue | null) =>
           this.step({
             kind: 'workerReply',
             call: o.call,
             result: r ? { ok: true, value: r } : { ok: false, why: 'unknown' },
           }),
         );
+        world.meters.direct(1);
+        const done = (r: WorkerValue | null): void => {
+          world.meters.direct(-1);
+          carriedOut(r);
+        };
         const worker = world.workers.get(o.op.addr as MachineId);
         network.call(this.name, o.op.addr, 2500, (reply) => worker?.direct(o.op, reply), done);
         break;
       }
       case 'peer': {
         const to = world.nodes.find((n) => n.name === o.to);
+        world.meters.frame(o.message);
         network.send(this.name, o.to, () => to?.fromPeer(this.name, o.message));
         break;
       }
       case 'log':
+        if (o.text === 'round') world.meters.round(o.fields);
         if (world.verbose) console.error((world.clock.now / 1000).toFixed(2), this.name, o.level, o.text, o.fields);
         if (o.level === 'error') world.errors.push(`${o.text} ${JSON.stringify(o.fields)}`);
         break;
@@ -200,7 +261,9 @@
   readonly workers = new Map<MachineId, Worker>();
   readonly faulty = new Set<JobId>();
   readonly errors: string[] = [];
-  readonly settings = { lease: LEASE_MS, report: REPORT_MS, gangWait: 40_000, gangPeer: 5000 };
+  readonly limits: Limits;
+  readonly settings: { lease: number; report: number; gangWait: number; gangPeer: number };
+  readonly meters: Meters;
   /** Until then every report is delivered once more, late. */
   copiesUntil = 0;
   /** Leases that ran out on workers with tasks. */
@@ -208,12 +271,16 @@
   verbose = process.env.SIM_LOG === '1';
   private readonly jobs = new Map<JobId, UserJob>();
   private readonly saved = new Map<string, number>();
+  private readonly mateIndex = new Map<string, Mate[]>();
 
   constructor(readonly options: WorldOptions) {
     this.clock = new Clock(options.seed);
     this.network = new Network(this.clock);
-    this.state = new StateService(this.clock, { txnOps: 8, valueBytes: 8192 });
-    this.rules = new Rules(this.clock, options.teams, CANCEL_MS);
+    this.limits = options.limits ?? LIMITS;
+    this.settings = { lease: this.limits.leaseMs, report: this.limits.reportMs, gangWait: 40_000, gangPeer: 5000 };
+    this.meters = new Meters(this.clock);
+    this.state = new StateService(this.clock, this.limits);
+    this.rules = new Rules(this.clock, options.teams, this.limits.cancelMs);
     const names = Array.from({ length: options.nodes }, (_, i) => `perch-${i}` as NodeName);
     for (const name of names) {
       this.nodes.push(new Controller(this, name, makeSettings(name, names, options)));
@@ -237,16 +304,21 @@
 
   // ---- what workers ask of the world
 
-  mates(
-    job: JobId,
-    attempt: Attempt,
-  ): { worker: Worker; task: Worker['tasks'] extends Map<string, infer T> ? T : never }[] {
-    const found: ReturnType<World['mates']> = [];
-    for (const worker of this.workers.values()) {
-      for (const task of worker.tasks.values())
-        if (task.job === job && task.attempt === attempt) found.push({ worker, task });
-    }
-    return found;
+  /** Where the tasks of one attempt of a job are. */
+  mates(job: JobId, attempt: Attempt): Mate[] {
+    return this.mateIndex.get(`${job}#${attempt}`) ?? [];
+  }
+
+  addMate(worker: Worker, task: Task): void {
+    const key = `${task.job}#${task.attempt}`;
+    this.mateIndex.set(key, [...(this.mateIndex.get(key) ?? []), { worker, task }]);
+  }
+
+  forgetMate(worker: Worker, task: Task): void {
+    const key = `${task.job}#${task.attempt}`;
+    const left = this.mates(task.job, task.attempt).filter((m) => m.worker !== worker || m.task !== task);
+    if (left.length > 0) this.mateIndex.set(key, left);
+    else this.mateIndex.delete(key);
   }
 
   runMs(job: JobId): number {
@@ -324,6 +396,7 @@
 
 function makeSettings(name: NodeName, names: readonly NodeName[], options: WorldOptions): Settings {
   const zone = options.zones[0] as ZoneName;
+  const { rps, writeRps, valueBytes, txnOps, cloudRps, reportMs, leaseMs, cancelMs } = options.limits ?? LIMITS;
   return {
     node: name,
     zone,
@@ -333,8 +406,8 @@
     skewMs: 25,
     teams: options.teams,
     objectives: [],
-    workers: { reportMs: REPORT_MS, leaseMs: LEASE_MS, gangWaitMs: 40_000, gangPeerMs: 5000, cancelMs: CANCEL_MS },
-    store: { rps: 200, writeRps: 20, valueBytes: 8192, txnOps: 8 },
-    cloud: { rps: 5, listLagMs: 3000 },
+    workers: { reportMs, leaseMs, gangWaitMs: 40_000, gangPeerMs: 5000, cancelMs },
+    store: { rps, writeRps, valueBytes, txnOps },
+    cloud: { rps: cloudRps, listLagMs: 3000 },
   };
 }
