--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -325,10 +325,12 @@
 
   /**
    * Jobs beyond those that a round plans in full: what is free on machines now, after that plan, goes to them in order, so
-   * that nothing stands idle because a round looks at so many jobs only. Returns the starts; all are for now.
+   * that nothing stands idle because a round looks at so many jobs only. Returns the starts; all are for now. It ends after
+   * `mostSteps`: with hundreds of machines free and hundreds of jobs the next round goes on.
    */
-  fillNow(plan: Plan, jobs: readonly PlanJob[]): PlannedStart[] {
+  fillNow(plan: Plan, jobs: readonly PlanJob[], mostSteps: number): PlannedStart[] {
     this.begin(plan.machines);
+    const until = this.steps + mostSteps;
     const free = new Set<number>();
     const least = leastOf(jobs);
     const hasRoom = (m: PlanMachine): boolean => at(m.times, 0) <= EPS && least.some((r) => fitsNow(m, r));
@@ -336,7 +338,7 @@
     const failed: PlanJob[] = [];
     const starts: PlannedStart[] = [];
     for (const job of jobs) {
-      if (free.size === 0) break;
+      if (free.size === 0 || this.steps >= until) break;
       // Room only shrinks here: what asks for as much as a job that found none finds none either.
       if (job.zoneRoom || failed.some((f) => asksNoLess(job, f))) continue;
       const from = starts.length;
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -52,9 +52,10 @@
   return Math.max(m.type.bootS * 0.15, m.type.bootS * 1.05 - age);
 }
 
-/** The shapes of GPU tasks that there are now, each once. */
-type GpuWork = readonly Resources[];
+/** For each type with GPUs what GPU work there is now could use beside them, if it had all of them. */
+type GpuWork = ReadonlyMap<TypeName, { readonly cpus: number; readonly memGb: number }>;
 
+/** Once for each type and shape of task, not for each machine: hundreds of machines meet hundreds of shapes. */
 function gpuWorkOf(cluster: Cluster): GpuWork {
   const shapes = new Map<string, Resources>();
   for (const { spec, state } of cluster.active) {
@@ -62,7 +63,18 @@
     const key = `${spec.gpus}|${spec.cpus}|${spec.memGb}`;
     if (!shapes.has(key)) shapes.set(key, spec);
   }
-  return [...shapes.values()];
+  const found = new Map<TypeName, { cpus: number; memGb: number }>();
+  for (const type of cluster.types.values()) {
+    const most = { cpus: 0, memGb: 0 };
+    for (const r of shapes.values()) {
+      if (r.gpus > type.gpus) continue;
+      const n = Math.floor(type.gpus / r.gpus + 1e-6);
+      most.cpus = Math.max(most.cpus, Math.min(type.cpus, n * r.cpus));
+      most.memGb = Math.max(most.memGb, Math.min(type.memGb, n * r.memGb));
+    }
+    found.set(type.name, most);
+  }
+  return found;
 }
 
 /**
@@ -72,22 +84,15 @@
 function looseRoom(m: Machine, gpuWork: GpuWork): { cpus: number; memGb: number } {
   const { type } = m;
   if (type.gpus === 0) return { cpus: Number.POSITIVE_INFINITY, memGb: Number.POSITIVE_INFINITY };
-  let cpus = 0;
-  let memGb = 0;
-  for (const r of gpuWork) {
-    if (r.gpus > type.gpus) continue;
-    const n = Math.floor(type.gpus / r.gpus + 1e-6);
-    cpus = Math.max(cpus, Math.min(type.cpus, n * r.cpus));
-    memGb = Math.max(memGb, Math.min(type.memGb, n * r.memGb));
-  }
-  let usedCpus = 0;
-  let usedMem = 0;
+  const taken = gpuWork.get(type.name) ?? { cpus: 0, memGb: 0 };
+  let cpus = type.cpus - taken.cpus;
+  let memGb = type.memGb - taken.memGb;
   for (const { job } of m.placements.values()) {
     if (job.spec.gpus > 0) continue;
-    usedCpus += job.spec.cpus;
-    usedMem += job.spec.memGb;
+    cpus -= job.spec.cpus;
+    memGb -= job.spec.memGb;
   }
-  return { cpus: type.cpus - cpus - usedCpus, memGb: type.memGb - memGb - usedMem };
+  return { cpus, memGb };
 }
 
 function planMachine(
@@ -108,8 +113,9 @@
     .sort((a, b) => a.at - b.at);
   for (const { at, spec } of ends) {
     let k = times.length - 1;
+    // Ends within a second of each other are one step: a machine of 64 cores would have as many steps as tasks.
     if (at > (times[k] as number) + 0.01) {
-      times.push(at);
+      times.push(Math.ceil(at));
       cpus.push(cpus[k] as number);
       gpus.push(gpus[k] as number);
       mem.push(mem[k] as number);
@@ -290,7 +296,7 @@
   const free = oneZone || inFull.length === 0 ? null : planner.plan(planMachines, inFull, null);
   const plan = inFull.length > 0 ? search.search(planMachines, inFull, free ? zonesChosen(free, inFull) : null) : none;
   const rest = planJobs.slice(inFull.length);
-  const extra = rest.length > 0 ? planner.fillNow(plan, rest) : [];
+  const extra = rest.length > 0 ? planner.fillNow(plan, rest, tuning.plan_steps) : [];
   const capacity = free ?? plan;
   const started = apply(cluster, [...plan.starts, ...extra], jobs, machines);
   const placed = new Map<number, number>();
