--- a/src/config/platform.ts
+++ b/src/config/platform.ts
@@ -56,7 +56,6 @@
   readonly peers: readonly { readonly name: NodeName; readonly addr: string }[];
   readonly cloudAddr: string;
   readonly storeAddr: string;
-  readonly maxConnections: number;
 }
 
 export function loadPlatform(file: string): Platform {
@@ -68,11 +67,11 @@
     peers: raw.siblings.map((s) => ({ name: s.host_name as NodeName, addr: s.address })),
     cloudAddr: raw.endpoints.cloud,
     storeAddr: raw.endpoints.state,
-    maxConnections: d.machine_limits.max_connections,
     settings: {
       node: raw.host_name as NodeName,
       zone: raw.area as ZoneName,
       peers: raw.siblings.map((s) => ({ name: s.host_name as NodeName, zone: s.area as ZoneName })),
+      limits: { cpuShare: d.machine_limits.cpu_share, connections: d.machine_limits.max_connections },
       nodes: Math.max(d.initial_size, raw.siblings.length + 1),
       zones: d.zones as ZoneName[],
       skewMs: d.skew_ms,
--- a/src/config/tuning.ts
+++ b/src/config/tuning.ts
@@ -10,6 +10,7 @@
     margin_ms: within(100, 5000),
     resign_after_ms: within(1000, 60_000),
     backoff_ms: notNegative,
+    reports_cpu_share: within(0.01, 1000),
   }),
   scheduler: v.object({
     period_ms: within(100, 60_000),
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -136,6 +136,8 @@
   readonly workersHeardMs: number;
   /** Workers' reports a second that reach the sender itself. */
   readonly beatsPerS: number;
+  /** The sender leads and would rather have workers' reports from the workers themselves. */
+  readonly takesReports: boolean;
 }
 
 export type PeerMessage =
--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -34,6 +34,14 @@
 const LINK_FRESH_MS = 2500;
 /** The leader leaves workers' connections to the others, down to this part of their mean load. */
 const LEADER_BEATS = 0.4;
+/** Workers are sent to a leader that takes reports only while some reach it: after taking the lead, and as long as ... */
+const DIRECT_GRACE_MS = 4000;
+const DIRECT_FRESH_MS = 1500;
+/** One that came back from there within this time couldn't reach it, and is served through this node. */
+const SENT_AGAIN_MS = 30_000;
+const SENT_MOST = 5000;
+/** The part of its sockets that a leader gives to workers. */
+const DIRECT_SOCKETS = 0.5;
 const CATALOG_RETRY_MS = 700;
 const CATALOG_FRESH_MS = 60_000;
 
@@ -75,6 +83,10 @@
   private beatsPerS = 0;
   private sheds = 0;
   private workersHeardAt: Steady | null = null;
+  /** The last report that came from the worker itself. */
+  private directAt = 0 as Steady;
+  /** Workers that were sent to a leader, and when. */
+  private readonly sent = new Map<MachineId, Steady>();
   private ledSince: Steady;
 
   constructor(
@@ -239,6 +251,7 @@
     const { steady } = this.ctx.now;
     const answer = (a: WorkerAnswer): void => this.ctx.answerWorker(req, a);
     this.workersHeardAt = steady;
+    this.directAt = steady;
     this.beatsCounted += 1;
     if (this.leader) {
       const other = this.shedTo();
@@ -249,6 +262,9 @@
     if (holder === null || holder === this.ctx.settings.node) return answer({ status: 503 });
     const peer = this.peers.get(holder);
     if (peer?.status.leading && steady - peer.heardAt < LINK_FRESH_MS && peer.silentUntil <= steady) {
+      if (peer.status.takesReports && this.maySend(report.machine)) {
+        return answer({ status: 421, reportTo: holder });
+      }
       const id = ++this.lastRelay;
       this.beats.set(id, { to: holder, machine: report.machine, answer, until: this.at(FORWARD_MS) });
       this.ctx.peer(holder, { kind: 'beat', id, report });
@@ -259,9 +275,32 @@
     answer(this.election.knowsHolder() ? { status: 421, reportTo: holder } : { status: 503 });
   }
 
+  /**
+   * Whether this leader would rather hear workers themselves: passing a report on costs as much again as taking it. Not
+   * while none reaches it, so that a leader cut off from workers isn't named to them.
+   */
+  private takesReports(): boolean {
+    const { limits } = this.ctx.settings;
+    if (!this.leader || !this.election.valid()) return false;
+    if (limits.cpuShare < this.ctx.tuning.leadership.reports_cpu_share) return false;
+    if (this.leader.cluster.machines.size > limits.connections * DIRECT_SOCKETS) return false;
+    const { steady } = this.ctx.now;
+    return steady - this.ledSince < DIRECT_GRACE_MS || steady - this.directAt < DIRECT_FRESH_MS;
+  }
+
+  private maySend(machine: MachineId): boolean {
+    const { steady } = this.ctx.now;
+    const before = this.sent.get(machine);
+    if (before !== undefined && steady - before < SENT_AGAIN_MS) return false;
+    if (this.sent.size >= SENT_MOST) this.sent.clear();
+    this.sent.set(machine, steady);
+    return true;
+  }
+
   /** A node to which the leader sends a worker, to have its own share of the core for what only it can do. */
   private shedTo(): NodeName | null {
     const { steady } = this.ctx.now;
+    if (this.takesReports()) return null;
     let best: { name: NodeName; peer: Peer } | null = null;
     let sum = 0;
     let n = 0;
@@ -316,6 +355,7 @@
       storeOk: this.ctx.storeFailingSince === null,
       workersHeardMs: heard === null ? -1 : Math.round(this.ctx.now.steady - heard),
       beatsPerS: this.beatsPerS,
+      takesReports: this.takesReports(),
     };
     for (const p of this.ctx.settings.peers) this.ctx.peer(p.name, { kind: 'status', status });
   }
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -15,6 +15,8 @@
   readonly zone: ZoneName;
   readonly peers: readonly { readonly name: NodeName; readonly zone: ZoneName }[];
   readonly nodes: number;
+  /** What a node may use: its part of a core, and its sockets. */
+  readonly limits: { readonly cpuShare: number; readonly connections: number };
   readonly zones: readonly ZoneName[];
   readonly skewMs: number;
   readonly teams: readonly Team[];
@@ -42,6 +44,7 @@
     readonly margin_ms: number;
     readonly resign_after_ms: number;
     readonly backoff_ms: number;
+    readonly reports_cpu_share: number;
   };
   readonly scheduler: {
     readonly period_ms: number;
--- a/src/io/peer_codec.ts
+++ b/src/io/peer_codec.ts
@@ -21,7 +21,7 @@
  * Between our own processes: frames of a four-byte length, a version, a kind and a payload, all by hand. Anything too
  * long, of another version or cut short is refused whole.
  */
-export const PEER_VERSION = 2;
+export const PEER_VERSION = 3;
 export const FRAME_MAX = 256 * 1024;
 const HEAD = 6;
 
@@ -341,7 +341,7 @@
   const w = new Writer();
   if (f.kind === 'hello') w.text(f.node);
   else if (f.kind === 'status') {
-    w.u8((f.status.leading ? 1 : 0) | (f.status.storeOk ? 2 : 0));
+    w.u8((f.status.leading ? 1 : 0) | (f.status.storeOk ? 2 : 0) | (f.status.takesReports ? 4 : 0));
     w.f64(f.status.workersHeardMs);
     w.f64(f.status.beatsPerS);
   } else {
@@ -366,8 +366,8 @@
       const bits = r.u8();
       const workersHeardMs = r.f64();
       const beatsPerS = r.f64();
-      const status = { leading: (bits & 1) !== 0, storeOk: (bits & 2) !== 0, workersHeardMs, beatsPerS };
-      return { kind: 'status', status };
+      const [leading, storeOk, takesReports] = [(bits & 1) !== 0, (bits & 2) !== 0, (bits & 4) !== 0];
+      return { kind: 'status', status: { leading, storeOk, workersHeardMs, beatsPerS, takesReports } };
     }
     case 'relay':
       return { kind: 'relay', id: r.f64(), request: readRequest(r) };
--- a/src/io/runtime.ts
+++ b/src/io/runtime.ts
@@ -74,7 +74,7 @@
         healthy: () => this.node.healthy(this.now().steady),
         malformed: (what) => this.malformed(what),
       },
-      platform.maxConnections,
+      platform.settings.limits.connections,
     );
   }
 
--- a/test/codec.test.ts
+++ b/test/codec.test.ts
@@ -158,8 +158,11 @@
 const spec = decodeJob(job);
 const frames: PeerFrame[] = [
   { kind: 'hello', node: 'perch-1' as NodeName },
-  { kind: 'status', status: { leading: true, storeOk: false, workersHeardMs: 1234, beatsPerS: 12.5 } },
-  { kind: 'status', status: { leading: false, storeOk: true, workersHeardMs: -1, beatsPerS: 0 } },
+  {
+    kind: 'status',
+    status: { leading: true, storeOk: false, workersHeardMs: 1234, beatsPerS: 12.5, takesReports: true },
+  },
+  { kind: 'status', status: { leading: false, storeOk: true, workersHeardMs: -1, beatsPerS: 0, takesReports: false } },
   { kind: 'relay', id: 7, request: { op: 'submit', id: spec.id, spec, problem: '' } },
   { kind: 'relay', id: 8, request: { op: 'submit', id: spec.id, spec: null, problem: 'crew is not a text' } },
   {
--- a/test/property.test.ts
+++ b/test/property.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import type { ImageName, JobId, MachineId, Team, TeamName, TypeName, ZoneName } from '../src/core/types.js';
 import { events, makeSpec, tuning } from './sim/scenario.js';
-import { World } from './sim/world.js';
+import { LIMITS, World } from './sim/world.js';
 
 const DAY_S = 260;
 const QUIET_S = 420;
@@ -45,7 +45,9 @@
 
 /** A day of random jobs and random troubles: whatever happens, no rule breaks, and once all is quiet all work ends. */
 function randomDay(seed: number): World {
-  const world = new World({ seed, nodes: seed % 3 === 0 ? 3 : 5, zones, teams, types, capacity: 14, tuning });
+  // On every other day leaders have cores enough to take workers' reports themselves.
+  const limits = { ...LIMITS, cpuShare: seed % 2 === 0 ? 0.8 : 0.3 };
+  const world = new World({ seed, nodes: seed % 3 === 0 ? 3 : 5, zones, teams, types, capacity: 14, tuning, limits });
   const { clock } = world;
   for (let i = 0; i < 4; i++) {
     world.cloud.add(types[i % 2] as (typeof types)[0], clock.pick(zones), clock.between(0, 1) < 0.4, 1);
@@ -106,6 +108,8 @@
     ['crash', () => [node, secs(0.02, 0.4)]],
     ['crash', () => ['followers', secs(0.02, 0.4)]],
     ['trip', () => [clock.pick(['before-grant', 'after-grant', 'before-take', 'after-take']), '2', secs(0.02, 0.4)]],
+    ['freeze', () => [node, secs(1, 30)]],
+    ['freeze', () => ['all', secs(1, 20)]],
     ['cut', () => [machine(), '*', secs(2, 30), mode]],
     ['hang', () => [machine(), secs(2, 30)]],
     ['sick', () => [machine()]],
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -43,6 +43,7 @@
   readonly reportMs: number;
   readonly leaseMs: number;
   readonly cancelMs: number;
+  readonly cpuShare: number;
 }
 
 export const LIMITS: Limits = {
@@ -54,6 +55,7 @@
   reportMs: 2000,
   leaseMs: 14_000,
   cancelMs: 39_000,
+  cpuShare: 0.3,
 };
 
 interface Mate {
@@ -396,7 +398,8 @@
 
 function makeSettings(name: NodeName, names: readonly NodeName[], options: WorldOptions): Settings {
   const zone = options.zones[0] as ZoneName;
-  const { rps, writeRps, valueBytes, txnOps, cloudRps, reportMs, leaseMs, cancelMs } = options.limits ?? LIMITS;
+  const { rps, writeRps, valueBytes, txnOps, cloudRps, reportMs, leaseMs, cancelMs, cpuShare } =
+    options.limits ?? LIMITS;
   return {
     node: name,
     zone,
@@ -409,5 +412,6 @@
     workers: { reportMs, leaseMs, gangWaitMs: 40_000, gangPeerMs: 5000, cancelMs },
     store: { rps, writeRps, valueBytes, txnOps },
     cloud: { rps: cloudRps, listLagMs: 3000 },
+    limits: { cpuShare, connections: 2000 },
   };
 }
