--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -3,13 +3,14 @@
 import { xoroshiro128plus } from 'pure-rand';
 import { CallQueue, TokenBucket } from '../src/core/buckets.js';
 import { Estimates } from '../src/core/estimates.js';
+import { Machine } from '../src/core/fleet.js';
 import { SpotHazard, spotDelayS } from '../src/core/hazard.js';
 import { RangeSet } from '../src/core/ranges.js';
 import { Evolution } from '../src/core/scheduler/evolution.js';
 import { type PlanJob, type PlanMachine, Planner } from '../src/core/scheduler/planner.js';
 import { rankValue } from '../src/core/scheduler/priority.js';
 import { type Evidence, Slowness } from '../src/core/slowness.js';
-import type { ImageName, JobId, MachineType, Steady, TypeName, ZoneName } from '../src/core/types.js';
+import type { ImageName, JobId, MachineId, MachineType, Steady, TypeName, ZoneName } from '../src/core/types.js';
 import { makeSpec } from './sim/scenario.js';
 
 test('range sets: any order of additions gives the same few ranges', () => {
@@ -172,6 +173,36 @@
 const a = 'a' as ZoneName;
 const b = 'b' as ZoneName;
 
+test('fleet: a machine known only from a report or a list gets no work before it has shown that it hears us', () => {
+  const now = 1000 as Steady;
+  const reported = new Machine('i-1' as MachineId, type('g4', 24, 4), a, false, 'i-1', true, 'up', now);
+  assert.equal(reported.usable(now, 2000), false);
+  reported.reached();
+  assert.equal(reported.usable(now, 2000), true);
+  // What we rented ourselves can't be a late copy of something gone.
+  const rented = new Machine('i-2' as MachineId, type('g4', 24, 4), a, false, '', true, 'booting', now);
+  rented.phase = 'up';
+  assert.equal(rented.usable(now, 2000), true);
+});
+
+test('planner: filling free room looks only where something could begin, and ends with its steps', () => {
+  const machines = Array.from({ length: 300 }, (_, i) => machine(i, 'a', type('g4', 24, 4), 24));
+  const jobs = Array.from({ length: 200 }, (_, i) => planJob(i, { cpus: 2, gpus: 4 }));
+  const fill = (steps: number): { steps: number; starts: number } => {
+    const p = planner();
+    const plan = p.plan(machines, [], null);
+    const starts = p.fillNow(plan, jobs, steps).length;
+    return { steps: p.steps, starts };
+  };
+  const free = fill(1_000_000);
+  assert.equal(free.starts, 200);
+  const bounded = fill(1500);
+  assert.ok(bounded.steps < 1500 + 300 && bounded.starts > 0 && bounded.starts < 200, JSON.stringify(bounded));
+  // With nothing free for any of them, none of the 200 looks over the 300 machines.
+  for (const m of machines) m.gpus[0] = 3;
+  assert.deepEqual(fill(1_000_000), { steps: 0, starts: 0 });
+});
+
 test('planner: earliest start counts the image fetch; ties go to the machine with least room', () => {
   const c8 = type('c8', 8, 0);
   const cached = planner().plan([machine(0, 'a', c8, 8, 30), machine(1, 'a', c8, 8, 0)], [planJob(0, {})], [a]);
