Gangs that have waited too long keep the machines they were planned on (to be measured)

First in rank, they were planned anew in every round: the machine expected to come free soonest changes with each, and photo work of the same priority took what had come free on the one before. Ruled out: ranking (they are first after 100 s) and preemption (same priority, not allowed).

--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -5,6 +5,7 @@
 import type { Job, Placement } from '../jobs.js';
 import type { JobId, MachineType, Resources, Steady, TypeName, ZoneName } from '../types.js';
 import { Evolution } from './evolution.js';
+import { heldTo, keepMachines, keptFor } from './gather.js';
 import { machineShare, type Plan, type PlanJob, type PlanMachine, type PlannedStart, Planner } from './planner.js';
 import { rankValue, urgency, userWeight } from './priority.js';
 
@@ -266,11 +267,13 @@
   machines.forEach((m, slot) => {
     if (m.reserved && m.reserved.until > now) reserved.push({ slot, job: m.reserved.job });
   });
+  const kept = keptFor(cluster, machines);
   const bySlot = new Map(machines.map((m, slot) => [m.id as string, slot]));
   for (const { job, tasks, waitedS } of ranked.slice(0, tuning.jobs_planned + FILL_MOST)) {
-    const zones = feasibleZones(cluster, job, zonesHere);
+    const held = heldTo(kept, job);
+    const zones = held?.zones ?? feasibleZones(cluster, job, zonesHere);
     if (zones.length === 0) continue;
-    planJobs.push(planJob(cluster, job, tasks, zones, waitedS, jobs.length, reserved, bySlot));
+    planJobs.push(planJob(cluster, job, tasks, zones, waitedS, jobs.length, reserved, bySlot, held?.slots ?? null));
     jobs.push(job);
   }
   const inFull = planJobs.slice(0, tuning.jobs_planned);
@@ -299,6 +302,7 @@
   const extra = rest.length > 0 ? planner.fillNow(plan, rest, tuning.plan_steps) : [];
   const capacity = free ?? plan;
   const started = apply(cluster, [...plan.starts, ...extra], jobs, machines);
+  keepMachines(cluster, plan, jobs, machines, (job) => overdueS(cluster, job) > 0);
   const placed = new Map<number, number>();
   for (const s of extra) placed.set(s.job, (placed.get(s.job) ?? 0) + s.tasks);
   const beyond = rest
@@ -369,6 +373,7 @@
   slot: number,
   reserved: readonly Reserved[],
   bySlot: ReadonlyMap<string, number>,
+  only: ReadonlySet<number> | null,
 ): PlanJob {
   const { spec } = job;
   const runS = cluster.estimates.expectS(spec);
@@ -406,6 +411,7 @@
     weight: userWeight(spec.rank, cluster.ctx.tuning.scheduler.priority_base),
     waitedS,
     avoid: avoid.size > 0 ? avoid : null,
+    only,
   };
 }
 
