--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -215,6 +215,8 @@
 
   private idle(m: Machine): boolean {
     const { tuning } = this.cluster.ctx;
+    // Kept empty on purpose, for a gang that waits for others like it.
+    if (m.reserved !== null && m.reserved.until > this.now) return false;
     const idleS = (this.now - Math.max(m.idleSince, m.firstHeardAt ?? m.idleSince)) / 1000;
     // It has been charged for a minute whatever happens.
     if ((this.now - m.rentedAt) / 1000 < 55) return false;
