--- a/src/config/tuning.ts
+++ b/src/config/tuning.ts
@@ -32,6 +32,7 @@
     overdue_after_s: positive,
     priority_base: within(1, 100),
     spacing_per_machine_ms: notNegative,
+    spacing_per_step_ms: within(0, 10),
     urgency: notNegative,
     urgency_horizon_s: positive,
   }),
--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -215,7 +215,7 @@
 
   private idle(m: Machine): boolean {
     const { tuning } = this.cluster.ctx;
-    // Kept empty on purpose, for a gang that waits for others like it.
+    // Made empty on purpose, for a job that is on its way here.
     if (m.reserved !== null && m.reserved.until > this.now) return false;
     const idleS = (this.now - Math.max(m.idleSince, m.firstHeardAt ?? m.idleSince)) / 1000;
     // It has been charged for a minute whatever happens.
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -80,7 +80,7 @@
   /** It left a direct command without an answer: no other before this time. */
   directNotBefore = 0 as Steady;
   /** Kept for a moment for a job that is on its way here. */
-  reserved: { readonly job: JobId; readonly until: Steady; readonly gathering?: boolean } | null = null;
+  reserved: { readonly job: JobId; readonly until: Steady } | null = null;
   readonly placements = new Map<TaskKey, Placement>();
   exited: ExitedTask[] = [];
   readonly images = new Map<ImageName, CachedImage>();
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -32,6 +32,7 @@
   private stopped = false;
   private lastRoundAt = 0 as Steady;
   private rounds = 0;
+  private lastSteps = 0;
   private unheardSince: Steady | null = null;
 
   constructor(
@@ -187,8 +188,9 @@
   // ---- rounds
 
   private soonRound(): void {
-    const { spacing_ms, spacing_per_machine_ms } = this.ctx.tuning.scheduler;
-    const earliest = steadyPlus(this.lastRoundAt, spacing_ms + spacing_per_machine_ms * this.cluster.machines.size);
+    const { spacing_ms, spacing_per_machine_ms, spacing_per_step_ms } = this.ctx.tuning.scheduler;
+    const cost = spacing_per_machine_ms * this.cluster.machines.size + spacing_per_step_ms * this.lastSteps;
+    const earliest = steadyPlus(this.lastRoundAt, spacing_ms + cost);
     const at = Math.max(earliest, this.ctx.now.steady + 20) as Steady;
     const next = this.ctx.timers.at('round');
     if (next === null || next > at) this.ctx.timers.set('round', at);
@@ -200,6 +202,7 @@
     if (!this.valid() || !this.loaded) return;
     this.rounds += 1;
     const result = scheduleRound(this.cluster, (this.seed + this.rounds * 7919) | 0);
+    this.lastSteps = result.steps;
     moveToCached(this.cluster);
     preempt(this.cluster, result);
     this.scaler.consider(result);
--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -45,8 +45,6 @@
   readonly waitedS: number;
   /** Machines it had better not use. */
   readonly avoid: ReadonlySet<number> | null;
-  /** The only machines it looks at: those kept for it. */
-  readonly only: ReadonlySet<number> | null;
 }
 
 export interface PlannedStart {
@@ -187,7 +185,6 @@
     (b.types === null || (a.types?.every((t) => b.types?.includes(t)) ?? false)) &&
     a.zones.every((z) => b.zones.includes(z)) &&
     b.avoid === null &&
-    b.only === null &&
     (!b.gang || (a.gang && a.tasks >= b.tasks && (a.sameZone || !b.sameZone)))
   );
 }
@@ -438,7 +435,7 @@
     const types = new Map<MachineType, number>();
     for (const slot of slots) {
       const m = this.machines[slot] as PlanMachine;
-      if ((m.spot && !job.spotOk) || job.avoid?.has(slot) || (job.only && !job.only.has(slot))) continue;
+      if ((m.spot && !job.spotOk) || job.avoid?.has(slot)) continue;
       let share = types.get(m.type);
       if (share === undefined) {
         share = typeFits(job, m.type) ? machineShare(job, m.type) : -1;
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -5,7 +5,6 @@
 import type { Job, Placement } from '../jobs.js';
 import type { JobId, MachineType, Resources, Steady, TypeName, ZoneName } from '../types.js';
 import { Evolution } from './evolution.js';
-import { heldTo, keepMachines, keptFor } from './gather.js';
 import { machineShare, type Plan, type PlanJob, type PlanMachine, type PlannedStart, Planner } from './planner.js';
 import { rankValue, urgency, userWeight } from './priority.js';
 
@@ -22,6 +21,8 @@
   /** Waiting jobs beyond those planned, with the tasks that found no room now. */
   readonly beyond: readonly { readonly job: PlanJob; readonly tasks: number }[];
   readonly started: number;
+  /** Plan steps that it took. */
+  readonly steps: number;
 }
 
 const NOW_S = 0.05;
@@ -267,13 +268,11 @@
   machines.forEach((m, slot) => {
     if (m.reserved && m.reserved.until > now) reserved.push({ slot, job: m.reserved.job });
   });
-  const kept = keptFor(cluster, machines);
   const bySlot = new Map(machines.map((m, slot) => [m.id as string, slot]));
   for (const { job, tasks, waitedS } of ranked.slice(0, tuning.jobs_planned + FILL_MOST)) {
-    const held = heldTo(kept, job);
-    const zones = held?.zones ?? feasibleZones(cluster, job, zonesHere);
+    const zones = feasibleZones(cluster, job, zonesHere);
     if (zones.length === 0) continue;
-    planJobs.push(planJob(cluster, job, tasks, zones, waitedS, jobs.length, reserved, bySlot, held?.slots ?? null));
+    planJobs.push(planJob(cluster, job, tasks, zones, waitedS, jobs.length, reserved, bySlot));
     jobs.push(job);
   }
   const inFull = planJobs.slice(0, tuning.jobs_planned);
@@ -302,7 +301,6 @@
   const extra = rest.length > 0 ? planner.fillNow(plan, rest, tuning.plan_steps) : [];
   const capacity = free ?? plan;
   const started = apply(cluster, [...plan.starts, ...extra], jobs, machines);
-  keepMachines(cluster, plan, jobs, machines, (job) => overdueS(cluster, job) > 0);
   const placed = new Map<number, number>();
   for (const s of extra) placed.set(s.job, (placed.get(s.job) ?? 0) + s.tasks);
   const beyond = rest
@@ -316,7 +314,7 @@
     started,
     cost: plan.cost,
   });
-  return { capacity, jobs, planJobs, machines, beyond, started };
+  return { capacity, jobs, planJobs, machines, beyond, started, steps: planner.steps };
 }
 
 /** Types of which gangs wait for whole machines that may not be spot ones. */
@@ -373,7 +371,6 @@
   slot: number,
   reserved: readonly Reserved[],
   bySlot: ReadonlyMap<string, number>,
-  only: ReadonlySet<number> | null,
 ): PlanJob {
   const { spec } = job;
   const runS = cluster.estimates.expectS(spec);
@@ -411,7 +408,6 @@
     weight: userWeight(spec.rank, cluster.ctx.tuning.scheduler.priority_base),
     waitedS,
     avoid: avoid.size > 0 ? avoid : null,
-    only,
   };
 }
 
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -66,6 +66,7 @@
     readonly overdue_after_s: number;
     readonly priority_base: number;
     readonly spacing_per_machine_ms: number;
+    readonly spacing_per_step_ms: number;
     readonly urgency: number;
     readonly urgency_horizon_s: number;
   };
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -165,7 +165,6 @@
     weight: 1,
     waitedS: 0,
     avoid: null,
-    only: null,
     ...over,
   };
 }
