--- a/src/config/tuning.ts
+++ b/src/config/tuning.ts
@@ -10,6 +10,7 @@
     margin_ms: within(100, 5000),
     resign_after_ms: within(1000, 60_000),
     backoff_ms: notNegative,
+    reports_cpu_share: within(0.01, 1000),
   }),
   scheduler: v.object({
     period_ms: within(100, 60_000),
@@ -31,6 +32,7 @@
     overdue_after_s: positive,
     priority_base: within(1, 100),
     spacing_per_machine_ms: notNegative,
+    spacing_per_step_ms: within(0, 10),
     urgency: notNegative,
     urgency_horizon_s: positive,
   }),
--- a/src/io/peer_codec.ts
+++ b/src/io/peer_codec.ts
@@ -21,7 +21,7 @@
  * Between our own processes: frames of a four-byte length, a version, a kind and a payload, all by hand. Anything too
  * long, of another version or cut short is refused whole.
  */
-export const PEER_VERSION = 2;
+export const PEER_VERSION = 3;
 export const FRAME_MAX = 256 * 1024;
 const HEAD = 6;
 
@@ -47,8 +47,11 @@
 const OPS = ['submit', 'poll', 'cancel'] as const;
 const MOODS: readonly UserMood[] = ['queued', 'running', 'done', 'cancelled'];
 
+/** Frames are made one at a time, in this one, and copied out at their size: a fresh buffer for each costs as much again. */
+let scratch = Buffer.alloc(4096);
+
 class Writer {
-  private buffer = Buffer.alloc(512);
+  private buffer = scratch;
   private at = HEAD;
 
   private room(n: number): void {
@@ -56,6 +59,7 @@
     const bigger = Buffer.alloc(Math.max(this.buffer.length * 2, this.at + n));
     this.buffer.copy(bigger, 0, 0, this.at);
     this.buffer = bigger;
+    scratch = bigger;
   }
 
   u8(n: number): void {
@@ -94,7 +98,9 @@
     this.buffer.writeUInt32BE(this.at - 4, 0);
     this.buffer.writeUInt8(PEER_VERSION, 4);
     this.buffer.writeUInt8(kind, 5);
-    return this.buffer.subarray(0, this.at);
+    const frame = Buffer.allocUnsafe(this.at);
+    this.buffer.copy(frame, 0, 0, this.at);
+    return frame;
   }
 }
 
@@ -335,7 +341,7 @@
   const w = new Writer();
   if (f.kind === 'hello') w.text(f.node);
   else if (f.kind === 'status') {
-    w.u8((f.status.leading ? 1 : 0) | (f.status.storeOk ? 2 : 0));
+    w.u8((f.status.leading ? 1 : 0) | (f.status.storeOk ? 2 : 0) | (f.status.takesReports ? 4 : 0));
     w.f64(f.status.workersHeardMs);
     w.f64(f.status.beatsPerS);
   } else {
@@ -360,8 +366,8 @@
       const bits = r.u8();
       const workersHeardMs = r.f64();
       const beatsPerS = r.f64();
-      const status = { leading: (bits & 1) !== 0, storeOk: (bits & 2) !== 0, workersHeardMs, beatsPerS };
-      return { kind: 'status', status };
+      const [leading, storeOk, takesReports] = [(bits & 1) !== 0, (bits & 2) !== 0, (bits & 4) !== 0];
+      return { kind: 'status', status: { leading, storeOk, workersHeardMs, beatsPerS, takesReports } };
     }
     case 'relay':
       return { kind: 'relay', id: r.f64(), request: readRequest(r) };
