--- a/test/sim/meters.ts
+++ b/test/sim/meters.ts
@@ -23,10 +23,8 @@
   private readonly storeChanges = new PerSecond();
   private readonly cloudCalls = new PerSecond();
   private directNow = 0;
-  /** Plan steps of the dearest round, and of all. */
+  /** Plan steps of the dearest round. */
   steps = 0;
-  allSteps = 0;
-  rounds = 0;
   directs = 0;
   frameBytes = 0;
 
@@ -63,8 +61,6 @@
   }
 
   round(fields: Record<string, unknown>): void {
-    this.rounds += 1;
-    this.allSteps += Number(fields.steps);
     this.steps = Math.max(this.steps, Number(fields.steps));
   }
 }
