--- a/src/core/election.ts
+++ b/src/core/election.ts
@@ -112,11 +112,14 @@
       }
       if (item.version > this.seenRevision) this.seenRevision = item.version;
       this.holder = decodeLeader(item.value);
-      if (this.holder && this.holder.node === this.ctx.settings.node && /^\d+$/.test(this.holder.lease)) {
-        // Our own earlier process held it, and it can't run beside us. Or it is our own: a transaction that we gave up was
-        // carried out after we had looked for it (late-writes.txt). Either way its lease can end now.
-        const own = this.holder.incarnation === this.incarnation;
-        this.ctx.log('info', 'ending a lease that this node no longer leads by', { own });
+      if (
+        this.holder &&
+        this.holder.node === this.ctx.settings.node &&
+        this.holder.incarnation !== this.incarnation &&
+        /^\d+$/.test(this.holder.lease)
+      ) {
+        // Our own earlier process held it, and it can't run beside us: its lease can end now.
+        this.ctx.log('info', 'ending the lease of this node’s earlier process', {});
         const lease = BigInt(this.holder.lease) as LeaseId;
         return this.ctx.store({ op: 'revoke', lease }, 0, () => this.retry(10));
       }
--- a/test/sim/rules.ts
+++ b/test/sim/rules.ts
@@ -21,6 +21,7 @@
   private readonly finals = new Map<JobId, 'done' | 'cancelled'>();
   readonly cancelAsked = new Set<JobId>();
   private readonly cancelledAt = new Map<JobId, number>();
+  private readonly goneAt = new Map<JobId, number>();
   starts = 0;
   /** Starts after the user was told that the job is cancelled: allowed only for what was on its way. */
   lateStarts = 0;
@@ -150,6 +151,13 @@
     const places = tasks?.get(index)?.filter((p) => p.machine !== machine) ?? [];
     if (places.length === 0) tasks?.delete(index);
     else tasks?.set(index, places);
+    if (tasks?.size === 0) this.goneAt.set(job, this.clock.now);
+  }
+
+  /** How long after the word of its cancellation the last task of a job was gone; until now if some are there. */
+  goneMs(job: JobId): number {
+    const there = (this.on.get(job)?.size ?? 0) > 0;
+    return (there ? this.clock.now : (this.goneAt.get(job) ?? 0)) - (this.cancelledAt.get(job) ?? 0);
   }
 
   completed(job: JobId, index: number): void {
--- a/test/sim/scenario.ts
+++ b/test/sim/scenario.ts
@@ -580,6 +580,11 @@
     const gone = ids.filter((id) => world.rules.finalOf(id as JobId) === 'cancelled');
     return gone.length >= Number(n) ? null : `only ${gone.length} cancelled`;
   },
+  /** expect gone-within S JOB ...: no task on any machine, that long after its user was told that it is cancelled */
+  'gone-within'(world, [s, ...ids]) {
+    const late = ids.filter((id) => world.rules.goneMs(id as JobId) > Number(s) * 1000);
+    return late.length === 0 ? null : `not gone in time: ${late.join(' ')}`;
+  },
   rented(world, [, n]) {
     return world.cloud.rentals <= Number(n) ? null : `${world.cloud.rentals} machines rented, more than ${n}`;
   },
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -273,7 +273,7 @@
   leasesLost = 0;
   verbose = process.env.SIM_LOG === '1';
   private readonly jobs = new Map<JobId, UserJob>();
-  /** Of the jobs that end before then this share is called off at that moment. */
+  /** Of the jobs that end before then this share is called off just then. */
   cancelAtEnd = { share: 0, until: 0 };
   private readonly saved = new Map<string, number>();
   private readonly mateIndex = new Map<string, Mate[]>();
@@ -287,8 +287,10 @@
     this.state = new StateService(this.clock, this.limits);
     this.rules = new Rules(this.clock, options.teams, this.limits.cancelMs);
     this.rules.onDone = (job) => {
-      if (this.clock.now < this.cancelAtEnd.until && this.clock.between(0, 1) < this.cancelAtEnd.share)
-        this.cancel(job);
+      if (this.clock.now >= this.cancelAtEnd.until || this.clock.between(0, 1) >= this.cancelAtEnd.share) return;
+      // The leader hears of the end, writes it, and others read it: each of these moments is met.
+      const after = this.clock.between(0, 1) < 0.5 ? 0 : this.clock.between(0, 2500);
+      this.clock.in(after, () => this.cancel(job));
     };
     new IdleRoom(this);
     const names = Array.from({ length: options.nodes }, (_, i) => `perch-${i}` as NodeName);
