--- a/src/core/election.ts
+++ b/src/core/election.ts
@@ -1,3 +1,4 @@
+import { DRIFT, leaderLeaseMs } from './bounds.js';
 import type { Context } from './context.js';
 import { decodeLeader, LEADER_KEY, type LeaderRecord, TERM_KEY } from './records.js';
 import {
@@ -11,9 +12,6 @@
   type Token,
 } from './types.js';
 
-/** Clocks of different machines drift apart by up to 0.05 %; both ends may be off. */
-export const DRIFT = 0.001;
-
 /** The watch of the key is answered at least every 5 s while the state service is there. */
 const HOLDER_FRESH_MS = 6500;
 
@@ -49,7 +47,7 @@
     private readonly incarnation: string,
     private readonly events: ElectionEvents,
   ) {
-    this.ttlMs = Math.round(ctx.settings.workers.leaseMs * ctx.tuning.leadership.lease_share);
+    this.ttlMs = leaderLeaseMs(ctx.settings, ctx.tuning);
   }
 
   /** True while no other node can hold the lead. */
