--- a/src/config/platform.ts
+++ b/src/config/platform.ts
@@ -42,7 +42,22 @@
       gang_peer_s: positive,
       cancel_s: positive,
     }),
-    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count }),
+    state: v.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: count,
+      // What the state service will allow from some moment on that nobody announces.
+      next: v.optional(
+        v.object({
+          rps: v.optional(positive),
+          write_rps: v.optional(positive),
+          value_kb: v.optional(positive),
+          txn_ops: v.optional(count),
+        }),
+        {},
+      ),
+    }),
     cloud: v.object({ rps: positive, list_lag_s: notNegative }),
     machine_limits: v.object({ cpu_share: positive, memory_mb: positive, max_connections: count }),
   }),
@@ -97,8 +112,11 @@
       store: {
         rps: d.state.rps,
         writeRps: d.state.write_rps,
-        valueBytes: d.state.value_kb * 1024,
-        txnOps: d.state.txn_ops,
+        // Sizes fit both limits from the start: one that doesn't would be refused from one moment to the next.
+        valueBytes: Math.min(d.state.value_kb, d.state.next.value_kb ?? Number.POSITIVE_INFINITY) * 1024,
+        txnOps: Math.min(d.state.txn_ops, d.state.next.txn_ops ?? Number.POSITIVE_INFINITY),
+        nextRps: Math.min(d.state.rps, d.state.next.rps ?? d.state.rps),
+        nextWriteRps: Math.min(d.state.write_rps, d.state.next.write_rps ?? d.state.write_rps),
       },
       cloud: { rps: d.cloud.rps, listLagMs: d.cloud.list_lag_s * 1000 },
     },
--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -1,5 +1,5 @@
 import type { Cluster } from './cluster.js';
-import { Machine } from './fleet.js';
+import { Machine, QUIET_REPORTS, startKey } from './fleet.js';
 import type { PlanJob } from './scheduler/planner.js';
 import type { RoundResult } from './scheduler/round.js';
 import {
@@ -30,6 +30,8 @@
 const RENT_AT_ONCE = 50;
 const DELETE_AT_ONCE = 100;
 const LIST_MS = 6000;
+const FEW_SILENT = 2;
+const FEW_SILENT_SHARE = 0.03;
 /** Capacity for guarantees is given back when there has been no work at all for so long. */
 const GUARANTEE_KEEP_MS = 30_000;
 
@@ -159,6 +161,8 @@
       up += 1;
       if (now - m.heardAt < 2.5 * settings.workers.reportMs) heard += 1;
     }
+    // Where few are silent it is the machines; more, and the cut may be a wider one that ends before their leases do.
+    const fewSilent = up - heard <= Math.max(FEW_SILENT, FEW_SILENT_SHARE * up);
     // If most workers are silent, it is we who are cut off.
     const spare = this.guaranteeShort();
     const hearing = heard * 2 >= up && now - leaderSince > 3 * settings.workers.reportMs;
@@ -181,7 +185,12 @@
       } else if (hearing && m.spot && silent > 4 * settings.workers.reportMs) {
         // Deleting it proves it empty sooner than its lease would.
         this.remove(m, 'silent');
-      } else if (hearing && silent > settings.workers.leaseMs + 15_000) this.remove(m, 'silent');
+      } else if (hearing && fewSilent && silent > QUIET_REPORTS * settings.workers.reportMs && hostsReplica(m)) {
+        // Users of a service wait until it is proven that the replica is gone: deleting its machine proves it sooner.
+        this.remove(m, 'silent');
+      } else if (holdsOnlyLateStarts(m) && silent < settings.workers.leaseMs)
+        this.remove(m, 'a start may still arrive there');
+      else if (hearing && silent > settings.workers.leaseMs + 15_000) this.remove(m, 'silent');
       else if (hearing && m.deafSince !== null && now - m.deafSince > settings.workers.leaseMs + 15_000)
         this.remove(m, 'does not heed commands');
       else if (m.placements.size === 0 && m.exited.length === 0 && this.idle(m)) {
@@ -474,6 +483,20 @@
   }
 }
 
+const hostsReplica = (m: Machine): boolean => {
+  for (const { job } of m.placements.values()) if (job.spec.shape === 'service') return true;
+  return false;
+};
+
+/** Nothing is there but starts of replicas no longer wanted, whose direct calls were never answered. */
+function holdsOnlyLateStarts(m: Machine): boolean {
+  if (m.lateStarts.size === 0 || m.directInFlight) return false;
+  for (const p of m.placements.values()) {
+    if (p.phase !== 'sent' || p.stop === null || !m.lateStarts.has(startKey(p))) return false;
+  }
+  return m.placements.size > 0;
+}
+
 function canRun(job: PlanJob, t: MachineType): boolean {
   return slots(job, t) >= 1 && (job.types === null || job.types.includes(t.name));
 }
--- a/src/core/beats.ts
+++ b/src/core/beats.ts
@@ -1,11 +1,11 @@
 import type { Cluster } from './cluster.js';
 import type { Context } from './context.js';
 import type { Leadership } from './election.js';
-import { DEAF_AFTER, Machine } from './fleet.js';
-import type { Job } from './jobs.js';
+import { DEAF_AFTER, Machine, startKey } from './fleet.js';
+import type { Job, Placement } from './jobs.js';
 import type { WorkerAnswer } from './messages.js';
 import { applyReport, compileCommands, isNewer } from './reports.js';
-import { type Seq, type Session, type Steady, steadyPlus, type WorkerReport } from './types.js';
+import { type Command, type Seq, type Session, type Steady, steadyPlus, type WorkerReport } from './types.js';
 
 const HOLD_MS = 600;
 /** Workers drop an answer that comes after 4 s: an idle one is kept waiting for well less. */
@@ -16,6 +16,8 @@
 /** A worker shows a new token with its next report or the one after; what goes on without it isn't listening. */
 const OLD_TOKEN_ANSWERS = 4;
 const PROBE_MS = 3000;
+/** Reports come a quarter early or late: after so many periods without one it is missed. */
+const MISSED_REPORTS = 1.4;
 const FENCES_AT_ONCE = 24;
 /** When many machines fall silent together, calls to them must not take all sockets, nor keep the others from theirs. */
 const DIRECTS_AT_ONCE = 64;
@@ -130,7 +132,8 @@
   probe(): void {
     const now = this.ctx.now.steady;
     for (const m of this.cluster.machines.values()) {
-      if ((m.deafSince === null && m.proven) || m.phase !== 'up' || m.probeAt > now) continue;
+      const asks = m.deafSince !== null || !m.proven || this.missed(m);
+      if (!asks || m.phase !== 'up' || m.probeAt > now) continue;
       if (m.directInFlight || !m.addr || m.deleting) continue;
       if (this.ctx.workerCallsOpen >= DIRECTS_AT_ONCE) return;
       m.probeAt = this.at(PROBE_MS);
@@ -138,6 +141,13 @@
     }
   }
 
+  /** A replica's machine that is overdue is asked at once: whether it is gone decides when the replica runs elsewhere. */
+  private missed(m: Machine): boolean {
+    if (this.ctx.now.steady - m.heardAt < MISSED_REPORTS * this.ctx.settings.workers.reportMs) return false;
+    for (const { job } of m.placements.values()) if (job.spec.shape === 'service') return true;
+    return false;
+  }
+
   // ---- reports
 
   take(report: WorkerReport, reply: BeatReply): void {
@@ -286,7 +296,7 @@
   private answer(h: HeldBeat): void {
     if (!this.help.valid() || !this.help.informed()) return h.reply({ status: 503 });
     const m = h.machine;
-    const fresh = this.ctx.now.steady - this.help.jobsFreshAt() < WATCH_FRESH_MS;
+    const fresh = this.fresh();
     const all = m.accounted ? compileCommands(this.cluster, m, true) : [];
     const commands: typeof all = [];
     for (const c of all) {
@@ -315,38 +325,70 @@
     );
   }
 
-  /** Stops go to the workers at once; starts only ever in answers to reports. */
+  private fresh(): boolean {
+    return this.ctx.now.steady - this.help.jobsFreshAt() < WATCH_FRESH_MS;
+  }
+
+  /**
+   * Stops go to the workers at once, and so do starts of replicas; all others only ever in answers to reports. A direct
+   * command can arrive late: a start sent this way counts as possibly there until the call is answered, the session ends
+   * or the machine is gone.
+   */
   sendDirect(): void {
     if (!this.help.valid()) return;
     let again = false;
-    for (const m of this.cluster.stopping) {
-      if (this.cluster.machines.get(m.id) !== m || m.placements.size === 0) {
-        this.cluster.stopping.delete(m);
-        continue;
-      }
-      if (!m.accounted || !m.addr || m.session === null || m.deleting) continue;
-      const commands = compileCommands(this.cluster, m, false).filter((c) => {
-        const p = c.op === 'stop' ? this.cluster.findPlacement(m, c.job, c.index) : undefined;
-        return p?.stop !== null && p !== undefined && (p.phase !== 'saving' || p.stop?.graceS === 0);
-      });
-      if (commands.length === 0) {
-        this.cluster.stopping.delete(m);
-        continue;
-      }
+    for (const m of new Set([...this.cluster.stopping, ...this.cluster.starting])) {
+      const stops = this.directStops(m);
+      const starts = this.directStarts(m);
+      if (stops === 'none') this.cluster.stopping.delete(m);
+      if (starts === 'none') this.cluster.starting.delete(m);
+      if (stops === 'none' && starts === 'none') continue;
       again = true;
+      if (!m.accounted || !m.addr || m.session === null || m.deleting) continue;
       if (m.directInFlight || m.directNotBefore > this.ctx.now.steady) continue;
       if (this.ctx.workerCallsOpen >= DIRECTS_AT_ONCE) break;
-      m.directInFlight = true;
-      const { session } = m;
-      this.ctx.worker({ addr: m.addr, token: this.leadership.token, session, commands }, (r) => {
-        m.directInFlight = false;
-        if (!r.ok) m.directNotBefore = this.at(SILENT_PAUSE_MS);
-        if (this.stopped || !r.ok || r.value.report.machine !== m.id) return;
-        if (this.cluster.machines.get(m.id) !== m) return;
-        this.takeReport(m, r.value.report, false);
-        if (r.value.executed) this.noteReached(m);
-      });
+      const begun = starts === 'none' ? [] : starts;
+      const commands = [...(stops === 'none' ? [] : stops), ...begun.map((p) => this.startOf(p, m))];
+      if (commands.length > 0) this.command(m, m.session, commands, begun.map(startKey));
     }
     if (again) this.ctx.timers.set('direct', this.at(1000));
   }
+
+  private command(m: Machine, session: Session, commands: readonly Command[], starts: readonly string[]): void {
+    m.directInFlight = true;
+    this.ctx.worker({ addr: m.addr, token: this.leadership.token, session, commands }, (r) => {
+      m.directInFlight = false;
+      if (!r.ok) m.directNotBefore = this.at(SILENT_PAUSE_MS);
+      else for (const key of starts) m.lateStarts.delete(key);
+      if (this.stopped || !r.ok || r.value.report.machine !== m.id) return;
+      if (this.cluster.machines.get(m.id) !== m) return;
+      this.takeReport(m, r.value.report, false);
+      if (r.value.executed) this.noteReached(m);
+    });
+  }
+
+  private directStops(m: Machine): Command[] | 'none' {
+    if (!this.cluster.stopping.has(m) || this.cluster.machines.get(m.id) !== m || m.placements.size === 0)
+      return 'none';
+    const commands = compileCommands(this.cluster, m, false).filter((c) => {
+      const p = c.op === 'stop' ? this.cluster.findPlacement(m, c.job, c.index) : undefined;
+      return p?.stop !== null && p !== undefined && (p.phase !== 'saving' || p.stop?.graceS === 0);
+    });
+    return commands.length > 0 ? commands : 'none';
+  }
+
+  /** Replicas that may be started there now; 'none' once none waits to be. */
+  private directStarts(m: Machine): Placement[] | 'none' {
+    if (!this.cluster.starting.has(m) || this.cluster.machines.get(m.id) !== m) return 'none';
+    const waiting = [...m.placements.values()].filter((p) => p.job.spec.shape === 'service' && p.phase === 'planned');
+    if (waiting.length === 0) return 'none';
+    return this.fresh() && this.help.informed() ? waiting.filter((p) => this.mayStart(p.job, m)) : [];
+  }
+
+  private startOf(p: Placement, m: Machine): Command {
+    p.phase = 'sent';
+    p.sentSeq = null;
+    m.lateStarts.add(startKey(p));
+    return { op: 'start', job: p.job.id, index: p.index, attempt: p.attempt };
+  }
 }
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -5,9 +5,22 @@
 import { Job, type Placement, type PlacementPhase } from './jobs.js';
 import { Quotas } from './quotas.js';
 import type { JobRecord } from './records.js';
-import type { Attempt, ImageName, JobId, MachineId, MachineType, Resources, Revision, TypeName } from './types.js';
+import type {
+  Attempt,
+  ImageName,
+  JobId,
+  MachineId,
+  MachineType,
+  Resources,
+  Revision,
+  Steady,
+  TypeName,
+} from './types.js';
 
 const WORDS_MOST = 10_000;
+/** Least spacing of looks at waiting replicas, and what one gathers. */
+const SERVICES_SPACING_MS = 100;
+const SERVICES_GATHER_MS = 10;
 
 /** What the leader knows: jobs, machines, and which task may be on which machine. */
 export class Cluster {
@@ -23,11 +36,16 @@
   /** The largest tasks seen that use an image. */
   readonly imageUsers = new Map<ImageName, Resources>();
   readonly imageGb = new Map<ImageName, number>();
-  /** Machines with tasks that were told to stop: only these need direct commands. */
+  /** Accepted services: their replicas are placed outside the search. */
+  readonly services = new Set<Job>();
+  /** Machines with tasks that were told to stop, or with replicas to start: only these need direct commands. */
   readonly stopping = new Set<Machine>();
+  readonly starting = new Set<Machine>();
   types: ReadonlyMap<TypeName, MachineType> = new Map();
   /** Jobs that a peer said are cancelled before their records were known here. */
   private readonly cancelledByWord = new Set<JobId>();
+  /** When replicas were last placed. */
+  servicesAt = 0 as Steady;
   private attempts = 0n;
 
   constructor(
@@ -57,7 +75,12 @@
     this.imageGb.set(job.spec.image, job.spec.imageGb);
     const user = this.imageUsers.get(job.spec.image);
     if (!user || user.gpus < job.spec.gpus || user.cpus < job.spec.cpus) this.imageUsers.set(job.spec.image, job.spec);
-    if (job.state === 'accepted') this.active.add(job);
+    if (job.state !== 'accepted') return job;
+    this.active.add(job);
+    if (job.spec.shape === 'service') {
+      this.services.add(job);
+      this.wakeServices();
+    }
     return job;
   }
 
@@ -75,6 +98,7 @@
 
   /** A job is done or cancelled: what is only planned goes, what may be there is stopped. */
   onJobOver(job: Job): void {
+    this.services.delete(job);
     for (const p of [...job.placements.values()]) {
       if (p.phase === 'planned') this.release(p);
       else if (job.state === 'cancelled') this.stop(p, 0);
@@ -82,6 +106,18 @@
     this.settle(job);
   }
 
+  /** Replicas wait for a place, or room was made for one: looked at soon, not with the next round. */
+  wakeServices(at: Steady = this.ctx.now.steady): void {
+    if (this.services.size === 0) return;
+    const due = this.ctx.timers.at('services');
+    const soon = Math.max(
+      at,
+      this.servicesAt + SERVICES_SPACING_MS,
+      this.ctx.now.steady + SERVICES_GATHER_MS,
+    ) as Steady;
+    if (due === null || due > soon) this.ctx.timers.set('services', soon);
+  }
+
   private settle(job: Job): void {
     if (job.state !== 'accepted' && job.placements.size === 0 && job.needsWrite === 'no') this.active.delete(job);
   }
@@ -114,6 +150,7 @@
     machine.remove(p, this.ctx.now.steady);
     this.quotas.add(job.spec, -1);
     job.freed(p.index);
+    if (this.services.has(job) || machine.reserved !== null) this.wakeServices();
     if (job.spec.shape === 'gang' && job.state === 'accepted') {
       if (job.placements.size > 0) this.breakGang(job);
       else job.broken = false;
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -33,6 +33,7 @@
   | 'direct'
   | 'load'
   | 'words'
+  | 'services'
   | 'store'
   | 'cloud';
 
@@ -51,8 +52,11 @@
   /** Since when the state service has only refused this node or not answered; null: it answers. */
   storeFailingSince: Steady | null = null;
 
+  private isLeading = false;
+  /** The lower rates that were announced have come into force, as far as this process has seen. */
+  private lowered = false;
   private lastCall: CallId = 0;
-  private readonly storeCalls = new Map<CallId, Reply<StoreValue>>();
+  private readonly storeCalls = new Map<CallId, { readonly reply: Reply<StoreValue>; readonly writes: boolean }>();
   private readonly cloudCalls = new Map<CallId, Reply<CloudValue>>();
   private readonly workerCalls = new Map<CallId, Reply<WorkerValue>>();
   private readonly storeQueue: CallQueue<StoreOp>;
@@ -81,10 +85,13 @@
    */
   leading(yes: boolean): void {
     const { nodes, store } = this.settings;
+    this.isLeading = yes;
     const part = nodes === 1 ? 1 : yes ? LEADER_PART : Math.min(LEADER_PART, FOLLOWERS_PART / (nodes - 1));
     const { steady } = this.now;
-    this.storeCallsBucket.resize(store.rps * part, store.rps * part, steady);
-    this.storeWrites.resize(store.writeRps * part, Math.max(store.txnOps, store.writeRps * part), steady);
+    const rps = (this.lowered ? store.nextRps : store.rps) * part;
+    const writeRps = (this.lowered ? store.nextWriteRps : store.writeRps) * part;
+    this.storeCallsBucket.resize(rps, rps, steady);
+    this.storeWrites.resize(writeRps, Math.max(store.txnOps, writeRps), steady);
   }
 
   /** Whether the state service takes more writes than what must be written now needs. */
@@ -111,7 +118,7 @@
       expires: steadyPlus(this.now.steady, waitAtMostMs),
       send: () => {
         const call = ++this.lastCall;
-        this.storeCalls.set(call, reply);
+        this.storeCalls.set(call, { reply, writes: op.op === 'txn' && op.changes.length > 0 });
         onSend?.(this.now.steady);
         this.outputs.push({ kind: 'store', call, op, timeoutMs });
       },
@@ -158,16 +165,33 @@
   }
 
   onStoreReply(call: CallId, result: Result<StoreValue>): void {
-    const reply = this.storeCalls.get(call);
-    if (!reply) return;
+    const sent = this.storeCalls.get(call);
+    if (!sent) return;
     this.storeCalls.delete(call);
+    if (!result.ok && result.throttled) this.onThrottled(sent.writes);
     if (result.ok || (result.why !== 'refused' && result.why !== 'unknown')) {
       this.storeFailingSince = null;
     } else {
       this.storeFailingSince ??= this.now.steady;
       if (result.why === 'refused') this.storeQueue.pause(steadyPlus(this.now.steady, 100));
     }
-    reply(result);
+    sent.reply(result);
+  }
+
+  /**
+   * The service said that we come too often. Where lower rates are announced this is the only sign that they have come into
+   * force; taken too early it costs some pace, and sizes have kept to both limits from the start.
+   */
+  private onThrottled(writes: boolean): void {
+    const { store } = this.settings;
+    const lower = writes ? store.nextWriteRps < store.writeRps : store.nextRps < store.rps;
+    if (this.lowered || !lower) return;
+    this.lowered = true;
+    this.log('info', 'the state service takes fewer calls: keeping to the limits announced for later', {
+      rps: store.nextRps,
+      writeRps: store.nextWriteRps,
+    });
+    this.leading(this.isLeading);
   }
 
   onCloudReply(call: CallId, result: Result<CloudValue>): void {
--- a/src/core/desk.ts
+++ b/src/core/desk.ts
@@ -200,7 +200,10 @@
       startZone: null,
       done: new RangeSet(),
     };
-    const value = encodeJob(record, 0);
+    const value = encodeJob(record, this.ctx.settings.store.valueBytes);
+    if (JSON.stringify(value).length > this.ctx.settings.store.valueBytes - 64) {
+      return this.read(id, answer, failed, { status: 422, problem: 'its description is longer than can be kept' });
+    }
     this.ctx.store(
       {
         op: 'txn',
@@ -248,7 +251,7 @@
       if (record.state === 'cancelled') return this.help.tellCancelled(id, () => answer(this.describe(record)));
       if (record.state !== 'accepted') return answer(this.describe(record));
       const cancelled: JobRecord = { ...record, state: 'cancelled' };
-      const value = encodeJob(cancelled, Number.POSITIVE_INFINITY);
+      const value = encodeJob(cancelled, this.ctx.settings.store.valueBytes);
       this.ctx.store(
         { op: 'txn', conditions: [{ key: jobKey(id), version }], changes: [{ put: jobKey(id), value }] },
         2,
--- a/src/core/estimates.ts
+++ b/src/core/estimates.ts
@@ -6,6 +6,9 @@
   squares: number;
 }
 
+/** As long as any plan looks ahead: room that a replica has taken doesn't come free. */
+const FOREVER_S = 3600;
+
 /**
  * How far the owners' estimates are off, per class: mean and spread of log(actual / estimate), pulled towards "right, give
  * or take half" while few tasks have been seen.
@@ -42,8 +45,9 @@
     return surprise;
   }
 
-  /** Expected run time of one task, in seconds. */
+  /** Expected run time of one task, in seconds. A service's replicas run until they are called off. */
   expectS(spec: JobSpec): number {
+    if (spec.shape === 'service') return FOREVER_S;
     return Math.max(0.5, spec.estimateS * Math.exp(this.meanOf(this.classes.get(spec.jobClass))));
   }
 
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -17,6 +17,10 @@
 export type TaskKey = string;
 export const taskKey = (job: JobId, index: number): TaskKey => `${job}/${index}`;
 
+/** One start: a task and its attempt. */
+export const startKey = (s: { readonly job: JobId | Job; readonly index: number; readonly attempt: Attempt }): string =>
+  `${typeof s.job === 'string' ? s.job : s.job.id}/${s.index}/${s.attempt}`;
+
 export interface ExitedTask {
   readonly job: JobId;
   readonly index: number;
@@ -77,6 +81,8 @@
   returning = false;
   countedLost = false;
   directInFlight = false;
+  /** Starts sent by direct calls that were not answered: they may come as long as the session lasts. */
+  readonly lateStarts = new Set<string>();
   /** It left a direct command without an answer: no other before this time. */
   directNotBefore = 0 as Steady;
   /** Kept for a moment for a job that is on its way here. */
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -26,6 +26,9 @@
   stop: { graceS: number; readonly since: Steady } | null;
 }
 
+/** A job that failed on so many machines is more likely at fault than they. */
+export const FAULTY_AFTER = 3;
+
 /** A job as the leader holds it: its record, and where its tasks are. */
 export class Job {
   readonly spec: JobSpec;
@@ -55,6 +58,8 @@
   moves = 0;
   /** How often lower work was stopped for it. */
   preempted = 0;
+  /** Of a service: replicas that ended soon after their start, one after the other. */
+  quickEnds = 0;
   private scan = 0;
 
   constructor(record: JobRecord, version: Revision) {
@@ -111,7 +116,14 @@
     return this.durableState !== 'accepted' || this.durableDone.has(index);
   }
 
+  /** A machine that failed it is avoided; once several did, it is the job. */
+  avoids(machine: string): boolean {
+    return this.failedOn.size < FAULTY_AFTER && this.failedOn.has(machine);
+  }
+
   markDone(index: number): void {
+    // A replica that ends has to run again, whatever it says of itself.
+    if (this.spec.shape === 'service') return;
     if (this.spec.shape === 'gang') for (let i = 0; i < this.spec.tasks; i++) this.done.add(i);
     else this.done.add(index);
     if (this.done.count >= this.spec.tasks && this.state === 'accepted') this.state = 'done';
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -13,6 +13,7 @@
 import { moveToCached } from './scheduler/moves.js';
 import { preempt } from './scheduler/preempt.js';
 import { scheduleRound } from './scheduler/round.js';
+import { placeServices } from './scheduler/services.js';
 import { type JobId, type MachineType, type Steady, steadyPlus, type TypeName, type WorkerReport } from './types.js';
 import { Upkeep } from './upkeep.js';
 
@@ -53,7 +54,10 @@
     this.ledger = new Ledger(this.cluster, leadership, this.registry, {
       valid: () => this.valid() && this.loaded,
       learn: (item) => void this.mirror.take(item),
-      onWritten: () => this.beats.release(),
+      onWritten: () => {
+        this.beats.release();
+        this.beats.sendDirect();
+      },
     });
     this.beats = new Beats(this.cluster, leadership, {
       valid: () => this.valid(),
@@ -83,7 +87,8 @@
     this.stopped = true;
     this.ledger.stop();
     this.beats.stop();
-    for (const t of ['round', 'flush', 'held', 'fleet', 'direct', 'load'] as const) this.ctx.timers.clear(t);
+    for (const t of ['round', 'flush', 'held', 'fleet', 'direct', 'load', 'services'] as const)
+      this.ctx.timers.clear(t);
   }
 
   private valid(): boolean {
@@ -147,6 +152,7 @@
     for (const item of pages) {
       for (const record of this.registry.load(item)) this.restoreMachine(record, item.key);
     }
+    this.registry.spreadAll();
     this.loaded = true;
     this.loading = false;
     const machines = this.cluster.machines.size;
@@ -160,7 +166,9 @@
 
   private restoreMachine(record: MachineRecord, key: string): void {
     const type = this.cluster.types.get(record.type);
-    if (!type || this.cluster.machines.has(record.id)) return;
+    if (this.cluster.machines.has(record.id)) return this.registry.noteDouble(key);
+    // A record that isn't understood stays as it is: its page is never written without it.
+    if (!type) return this.registry.keep(key, record);
     const now = this.ctx.now.steady;
     const m = new Machine(record.id, type, record.zone, record.spot, record.addr, false, 'up', now);
     m.fetchSpeed = record.fetchSpeed;
@@ -206,7 +214,17 @@
 
   // ---- rounds
 
+  /** Replicas that wait are given places at once, and their starts go out directly. */
+  placeServices(): void {
+    if (!this.valid() || !this.loaded) return;
+    this.cluster.servicesAt = this.ctx.now.steady;
+    if (placeServices(this.cluster) === 0) return;
+    this.ledger.flush();
+    this.beats.sendDirect();
+  }
+
   private soonRound(): void {
+    this.cluster.wakeServices();
     const { spacing_ms, spacing_per_machine_ms, spacing_per_step_ms } = this.ctx.tuning.scheduler;
     const cost = spacing_per_machine_ms * this.cluster.machines.size + spacing_per_step_ms * this.lastSteps;
     const earliest = steadyPlus(this.lastRoundAt, spacing_ms + cost);
@@ -220,6 +238,7 @@
     this.lastRoundAt = this.ctx.now.steady;
     if (!this.valid() || !this.loaded) return;
     this.rounds += 1;
+    this.placeServices();
     const result = scheduleRound(this.cluster, (this.seed + this.rounds * 7919) | 0);
     this.lastSteps = result.steps;
     moveToCached(this.cluster);
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -13,6 +13,9 @@
 const TXN_BYTES = 48_000;
 const JOB_BYTES = 700;
 const GATHER_MS = 30;
+/** After a write that was refused for its size. */
+const REJECTED_PAUSE_MS = 1000;
+const LEAST_VALUE_BYTES = 512;
 
 interface JobSnapshot {
   readonly job: Job;
@@ -51,6 +54,9 @@
   private readonly ctx: Context;
   private inFlight = 0;
   private stopped = false;
+  private mostChanges: number;
+  private valueBytes: number;
+  private pausedUntil = 0 as Steady;
 
   constructor(
     private readonly cluster: Cluster,
@@ -59,6 +65,8 @@
     private readonly help: LedgerHelp,
   ) {
     this.ctx = cluster.ctx;
+    this.mostChanges = this.ctx.settings.store.txnOps;
+    this.valueBytes = this.ctx.settings.store.valueBytes;
   }
 
   get busy(): boolean {
@@ -89,6 +97,7 @@
   flush(): void {
     if (this.stopped || !this.help.valid()) return;
     const now = this.ctx.now.steady;
+    if (now < this.pausedUntil) return this.ctx.timers.set('flush', this.pausedUntil);
     const spare = this.ctx.writesToSpare();
     const jobs = this.dueJobs(now, spare);
     for (const page of this.registry.lostPages()) this.findPage(page);
@@ -126,7 +135,7 @@
   }
 
   private fits(batch: Batch): boolean {
-    return batch.changes.length < this.ctx.settings.store.txnOps && batch.bytes < TXN_BYTES;
+    return batch.changes.length < this.mostChanges && batch.bytes < TXN_BYTES;
   }
 
   private addPage(batch: Batch, page: Page): void {
@@ -145,16 +154,15 @@
   }
 
   private addJob(batch: Batch, job: Job, now: Steady): void {
-    const most = Math.max(4, Math.floor((this.ctx.settings.store.valueBytes - 2000) / 16));
-    const done = job.done.pairs(most);
     if (job.needsWrite === 'now') batch.urgent = true;
     job.writing = true;
     job.lastWriteAt = now;
     const { spec, submittedAt, state, startTerm, startZone } = job;
-    batch.bytes += JOB_BYTES + done.length * 14;
-    batch.jobs.push({ job, state, startTerm, done });
+    const record = { spec, submittedAt, state, startTerm, startZone, done: job.done };
+    const value = encodeJob(record, this.valueBytes);
+    batch.bytes += JOB_BYTES + value.done.length * 14;
+    batch.jobs.push({ job, state, startTerm, done: value.done });
     batch.conditions.push({ key: jobKey(job.id), version: job.version });
-    const value = encodeJob({ spec, submittedAt, state, startTerm, startZone, done: job.done }, most);
     batch.changes.push({ put: jobKey(job.id), value });
   }
 
@@ -176,12 +184,26 @@
           page.lost = unclear;
         }
         if (unclear) for (const s of jobs) this.refresh(s.job);
+        if (!r.ok && r.why === 'rejected') this.tooLarge(batch);
         this.ctx.timers.set('flush', steadyPlus(this.ctx.now.steady, 150));
       }
       this.help.onWritten();
     });
   }
 
+  /** The service calls a transaction malformed: it may take less than we were told. The same one is never sent again. */
+  private tooLarge(batch: Batch): void {
+    const n = batch.changes.length;
+    if (n > 1) this.mostChanges = Math.max(1, Math.floor(n / 2));
+    else this.valueBytes = Math.max(LEAST_VALUE_BYTES, Math.floor(this.valueBytes * 0.75));
+    this.registry.keepTo(this.valueBytes);
+    this.pausedUntil = steadyPlus(this.ctx.now.steady, REJECTED_PAUSE_MS);
+    this.ctx.log('info', 'the state service refuses a write for its size: writing less at a time', {
+      changes: this.mostChanges,
+      valueBytes: this.valueBytes,
+    });
+  }
+
   private written(s: JobSnapshot, version: Revision): void {
     const { job } = s;
     if (version > job.version) {
@@ -198,7 +220,8 @@
   private pageWritten(s: PageSnapshot, version: Revision): void {
     if (version > s.page.version) s.page.version = version;
     for (const m of s.machines) if (s.page.machines.has(m)) m.registered = true;
-    if (s.page.urgent || s.page.shrunk) this.soon();
+    this.registry.arrived(s.page, s.machines);
+    this.soon();
   }
 
   /** A write failed or has an unknown outcome: the store tells what holds now. */
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -33,7 +33,8 @@
 export type Result<T> =
   | { readonly ok: true; readonly value: T }
   /** `keys`: of a conflict, those that did not have the version asked for. */
-  | { readonly ok: false; readonly why: Failure; readonly keys?: readonly string[] };
+  /** `throttled`: it was refused for coming too often. */
+  | { readonly ok: false; readonly why: Failure; readonly keys?: readonly string[]; readonly throttled?: boolean };
 
 export interface StoredItem {
   readonly key: string;
--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -233,6 +233,9 @@
         case 'load':
           this.leader?.load();
           break;
+        case 'services':
+          this.leader?.placeServices();
+          break;
         case 'words':
           this.giveUpWords();
           break;
--- a/src/core/ranges.ts
+++ b/src/core/ranges.ts
@@ -54,8 +54,15 @@
     for (const [a, b] of other.ranges) for (let n = a; n <= b; n++) this.add(n);
   }
 
-  /** The first `most` ranges: a record must fit the store's value limit. */
-  pairs(most = Number.POSITIVE_INFINITY): [number, number][] {
-    return this.ranges.slice(0, most).map(([a, b]) => [a, b]);
+  /** The first ranges, as many as fit into `bytes` of text: a record must fit the store's value limit. */
+  pairs(bytes = Number.POSITIVE_INFINITY): [number, number][] {
+    const found: [number, number][] = [];
+    let left = bytes;
+    for (const [a, b] of this.ranges) {
+      left -= 4 + String(a).length + String(b).length;
+      if (left < 0) break;
+      found.push([a, b]);
+    }
+    return found;
   }
 }
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -39,19 +39,18 @@
   readonly term: number;
 }
 
+/** The service may count a value's text somewhat otherwise than we do. */
+const SPARE_BYTES = 48;
+
 type Fields = Record<string, unknown>;
 const isFields = (v: unknown): v is Fields => typeof v === 'object' && v !== null && !Array.isArray(v);
 
-export function encodeJob(r: JobRecord, mostRanges: number): Fields {
-  return {
-    v: 1,
-    spec: r.spec,
-    at: r.submittedAt,
-    state: r.state,
-    term: r.startTerm,
-    zone: r.startZone,
-    done: r.done.pairs(mostRanges),
-  };
+/** A job's record in `valueBytes` at most: results that find no room in it stay with the workers that have them. */
+export function encodeJob(r: JobRecord, valueBytes: number): Fields & { done: [number, number][] } {
+  const { spec, submittedAt: at, state, startTerm: term, startZone: zone } = r;
+  const value = { v: 1, spec, at, state, term, zone, done: [] as [number, number][] };
+  if (r.done.count > 0) value.done = r.done.pairs(valueBytes - SPARE_BYTES - Buffer.byteLength(JSON.stringify(value)));
+  return value;
 }
 
 /** Null for a value that isn't a job record: it is skipped, not believed. */
--- a/src/core/registry.ts
+++ b/src/core/registry.ts
@@ -3,15 +3,19 @@
 import { decodePage, encodePage, MACHINE_PREFIX, type MachineRecord, pageKey } from './records.js';
 import { ABSENT, type MachineId, type Revision, type Steady } from './types.js';
 
-/** What a page's text may take of the store's limit for a value, and what one machine takes of it at most. */
-const PAGE_SHARE = 0.8;
-const MACHINE_BYTES = 260;
+/** What a page's text may take of the store's limit for a value, and what one machine with its hints is reckoned at. */
+const PAGE_SHARE = 0.95;
+const MACHINE_BYTES = 190;
 /** Hints alone are written this rarely. */
 const HINTS_MS = 8000;
 
 export interface Page {
   readonly no: number;
   readonly machines: Set<Machine>;
+  /** What else is on it, kept as it is. */
+  readonly kept: MachineRecord[];
+  /** Machines on their way to another page: they stay on this one until that is on record. */
+  readonly leaving: Map<Machine, Page>;
   version: Revision;
   /** A machine in it must be on record before it may be used; or one is gone; or only its images have changed. */
   urgent: boolean;
@@ -30,17 +34,91 @@
 export class Registry {
   private readonly pages = new Map<number, Page>();
   private readonly of = new Map<MachineId, Page>();
-  private readonly perPage: number;
+  private perPage = 1;
+  /** Pages that aren't understood. */
+  private readonly foreign = new Set<number>();
 
-  constructor(private readonly valueBytes: number) {
+  constructor(private valueBytes: number) {
+    this.keepTo(valueBytes);
+  }
+
+  /** Pages are kept to so much text from now on; larger ones are spread over others, machine by machine. */
+  keepTo(valueBytes: number): void {
+    this.valueBytes = valueBytes;
     this.perPage = Math.max(1, Math.floor((valueBytes * PAGE_SHARE) / MACHINE_BYTES));
+    for (const page of [...this.pages.values()]) this.spread(page);
+  }
+
+  /** An earlier build, or other limits, may have left a page larger than may be written now. */
+  spread(page: Page): void {
+    if (page.leaving.size > 0) return;
+    const machines = [...page.machines];
+    while (machines.length > 1 && (machines.length > this.perPage || !this.fits(machines))) {
+      const m = machines.pop() as Machine;
+      if (m.registered) {
+        const to = this.put(m, page);
+        page.leaving.set(m, to);
+      } else {
+        page.machines.delete(m);
+        this.put(m, page).urgent = true;
+      }
+    }
+  }
+
+  spreadAll(): void {
+    for (const page of [...this.pages.values()]) this.spread(page);
+  }
+
+  /** Its machines are on another page too: that one holds, and this is written without them. */
+  noteDouble(key: string): void {
+    const page = this.pages.get(Number(key.slice(MACHINE_PREFIX.length)));
+    if (page) page.shrunk = true;
+  }
+
+  /** A page is on record as it was with these machines: those that came from other pages may leave them. */
+  arrived(page: Page, machines: readonly Machine[]): void {
+    for (const from of this.pages.values()) {
+      if (from.leaving.size === 0) continue;
+      for (const m of machines) {
+        if (from.leaving.get(m) !== page) continue;
+        from.leaving.delete(m);
+        from.machines.delete(m);
+        from.shrunk = true;
+      }
+    }
+  }
+
+  private fits(machines: readonly Machine[]): boolean {
+    return JSON.stringify(encodePage(machines.map(machineRecord), 0)).length <= this.valueBytes * PAGE_SHARE;
+  }
+
+  /** Puts a machine on a page with room, other than `not`. */
+  private put(m: Machine, not: Page | null): Page {
+    let page: Page | undefined;
+    for (const p of this.pages.values()) {
+      if (p === not || p.leaving.size > 0 || p.machines.size >= this.perPage) continue;
+      if ((page === undefined || p.machines.size > page.machines.size) && this.fits([...p.machines, m])) page = p;
+    }
+    if (!page) {
+      page = this.fresh(this.pages.size, ABSENT);
+      while (this.pages.has(page.no) || this.foreign.has(page.no)) page = this.fresh(page.no + 1, ABSENT);
+      this.pages.set(page.no, page);
+    }
+    page.machines.add(m);
+    page.shrunk = true;
+    this.of.set(m.id, page);
+    return page;
   }
 
   /** Takes in a stored page and names the machines on it. */
   load(item: StoredItem): MachineRecord[] {
     const no = Number(item.key.slice(MACHINE_PREFIX.length));
     const records = decodePage(item.value);
-    if (!records || !Number.isSafeInteger(no)) return [];
+    if (!records || !Number.isSafeInteger(no)) {
+      // Not ours to write over: a later build may have put it there.
+      if (Number.isSafeInteger(no)) this.foreign.add(no);
+      return [];
+    }
     this.pages.set(no, this.fresh(no, item.version));
     return records;
   }
@@ -49,6 +127,8 @@
     return {
       no,
       machines: new Set(),
+      kept: [],
+      leaving: new Map(),
       version,
       urgent: false,
       shrunk: false,
@@ -59,6 +139,11 @@
     };
   }
 
+  /** A machine of a type that is not known now: its record stays as it is. */
+  keep(key: string, record: MachineRecord): void {
+    this.pages.get(Number(key.slice(MACHINE_PREFIX.length)))?.kept.push(record);
+  }
+
   /** Puts a machine that was read from a page back on it. */
   restore(m: Machine, key: string): void {
     const page = this.pages.get(Number(key.slice(MACHINE_PREFIX.length)));
@@ -70,18 +155,7 @@
 
   add(m: Machine): void {
     if (this.of.has(m.id)) return;
-    let page: Page | undefined;
-    for (const p of this.pages.values()) {
-      if (p.machines.size < this.perPage && (page === undefined || p.machines.size > page.machines.size)) page = p;
-    }
-    if (!page) {
-      page = this.fresh(this.pages.size, ABSENT);
-      while (this.pages.has(page.no)) page = this.fresh(page.no + 1, ABSENT);
-      this.pages.set(page.no, page);
-    }
-    page.machines.add(m);
-    page.urgent = true;
-    this.of.set(m.id, page);
+    this.put(m, null).urgent = true;
   }
 
   drop(id: MachineId): void {
@@ -90,6 +164,14 @@
     this.of.delete(id);
     for (const m of page.machines) if (m.id === id) page.machines.delete(m);
     page.shrunk = true;
+    for (const from of this.pages.values()) {
+      for (const m of from.leaving.keys()) {
+        if (m.id !== id) continue;
+        from.leaving.delete(m);
+        from.machines.delete(m);
+        from.shrunk = true;
+      }
+    }
   }
 
   noteHints(): void {
@@ -107,7 +189,8 @@
   due(now: Steady, spare: boolean): Page[] {
     const found: Page[] = [];
     for (const p of this.pages.values()) {
-      if (p.writing || p.lost) continue;
+      // One that is being spread is too large to be written until the others have left.
+      if (p.writing || p.lost || p.leaving.size > 0) continue;
       if (p.urgent || p.shrunk || (p.hints && spare && now - p.writtenAt > HINTS_MS)) found.push(p);
     }
     return found.sort((a, b) => Number(b.urgent) - Number(a.urgent) || Number(b.shrunk) - Number(a.shrunk));
@@ -120,7 +203,7 @@
   /** The change that brings the store up to date with a page; `bytes` is about its size. */
   change(page: Page): { change: Change; bytes: number; machines: Machine[] } {
     const machines = [...page.machines];
-    const records = machines.map(machineRecord);
+    const records = [...page.kept, ...machines.map(machineRecord)];
     for (let images = IMAGES_MOST; ; images = Math.floor(images / 2)) {
       const value = encodePage(records, images);
       const bytes = JSON.stringify(value).length;
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -1,6 +1,6 @@
 import type { Cluster } from './cluster.js';
-import { type Machine, taskKey } from './fleet.js';
-import type { Job } from './jobs.js';
+import { type Machine, startKey, taskKey } from './fleet.js';
+import { FAULTY_AFTER, type Job, type Placement } from './jobs.js';
 import { type Evidence, SLOW_FACTOR } from './slowness.js';
 import { type Command, type Steady, steadyPlus, type TaskReport, type Token, type WorkerReport } from './types.js';
 
@@ -31,6 +31,7 @@
       tasks: m.placements.size,
     });
     cluster.releaseAll(m);
+    m.lateStarts.clear();
     m.images.forEach((image, name) => {
       if (image.fetchingSince !== null) m.images.delete(name);
     });
@@ -68,7 +69,8 @@
     if (p.phase === 'sent') {
       // Only a newer report of the same kind shows that the answer with the start was dropped: replies to direct
       // commands overtake it. Reports are sent one after the other.
-      if (!beat || p.sentSeq === null || r.seq <= p.sentSeq) continue;
+      // One that went out by a direct call without an answer may still arrive, whatever the reports say (late-starts.txt).
+      if (!beat || p.sentSeq === null || r.seq <= p.sentSeq || m.lateStarts.has(startKey(p))) continue;
       p.phase = 'planned';
       p.sentSeq = null;
       dropped = true;
@@ -96,6 +98,13 @@
   if (!job) return false;
   const p = cluster.findPlacement(m, t.job, t.index);
   const mine = p !== undefined && p.attempt === t.attempt;
+  if (job.spec.shape === 'service') {
+    m.exited[m.exited.length - 1] = { job: t.job, index: t.index, attempt: t.attempt, done: false };
+    if (!mine) return false;
+    noteReplicaEnd(cluster, m, p, t);
+    cluster.release(p);
+    return true;
+  }
   if (done && job.state === 'accepted' && !job.isDone(t.index)) {
     job.markDone(t.index);
     m.errorStreak = 0;
@@ -119,6 +128,34 @@
   if (job.longOn.size < 2) m.slowness.note(job.id, e);
 }
 
+/** One that ran for so long has shown that its service and its machine are well. */
+const STEADY_MS = 30_000;
+const QUICK_ENDS_FREE = 2;
+const RESTART_MOST_MS = 30_000;
+
+/**
+ * A replica that ends runs again elsewhere, whatever it ended with. One that ends soon after its start does so after a pause
+ * that doubles: a service that can't stay up must not take the cluster's time.
+ */
+function noteReplicaEnd(cluster: Cluster, m: Machine, p: Placement, t: TaskReport): void {
+  const { job } = p;
+  const now = cluster.ctx.now.steady;
+  if (t.reason === 'stopped') return;
+  if (p.runningSince !== null && now - p.runningSince >= STEADY_MS) {
+    job.failedOn.clear();
+    job.quickEnds = 0;
+  } else if (t.reason === 'done' || t.reason === 'error') {
+    job.quickEnds += 1;
+    const pause = job.quickEnds <= QUICK_ENDS_FREE ? 0 : 500 * 2 ** Math.min(6, job.quickEnds - QUICK_ENDS_FREE);
+    job.notBefore = steadyPlus(now, Math.min(RESTART_MOST_MS, pause));
+  }
+  const pausedUntil = job.notBefore;
+  if (t.reason === 'done') job.failedOn.add(m.id);
+  else noteFailure(cluster, m, job, t, p.runningSince !== null);
+  job.notBefore = Math.max(pausedUntil, job.notBefore) as Steady;
+  cluster.wakeServices(job.notBefore);
+}
+
 function noteFailure(cluster: Cluster, m: Machine, job: Job, t: TaskReport, ran: boolean): void {
   const { ctx } = cluster;
   const now = ctx.now.steady;
@@ -135,8 +172,8 @@
   if (t.reason !== 'error') return;
   job.failedOn.add(m.id);
   // A job that failed on several machines is more likely at fault than the machine, and is tried ever more rarely.
-  if (job.failedOn.size >= 3) {
-    job.notBefore = steadyPlus(now, Math.min(60_000, 2000 * 2 ** Math.min(5, job.failedOn.size - 3)));
+  if (job.failedOn.size >= FAULTY_AFTER) {
+    job.notBefore = steadyPlus(now, Math.min(60_000, 2000 * 2 ** Math.min(5, job.failedOn.size - FAULTY_AFTER)));
     return;
   }
   m.errorStreak += 1;
@@ -152,6 +189,8 @@
   if (!job) return;
   let p = cluster.findPlacement(m, t.job, t.index);
   if (p && p.attempt !== t.attempt) {
+    // Ours may still come by a direct call; it is refused for as long as the older one is there, and the worker says so.
+    if (m.lateStarts.has(startKey(p))) return;
     // An older attempt is still there: ours can't have been started.
     cluster.release(p);
     p = undefined;
@@ -196,6 +235,8 @@
   if (starts) {
     for (const e of m.exited) {
       const job = cluster.jobs.get(e.job);
+      // Once forgotten, a start of the same attempt that is still on its way would run it again.
+      if (m.lateStarts.has(startKey(e))) continue;
       if (!e.done || !job || job.exitIsDurable(e.index)) {
         commands.push({ op: 'forget', job: e.job, index: e.index, attempt: e.attempt });
       }
--- a/src/core/scheduler/evolution.ts
+++ b/src/core/scheduler/evolution.ts
@@ -40,7 +40,7 @@
     const randomGenes = (): ZoneName[] => jobs.map((j) => this.pick(j.zones));
     const first = evaluate(seed ?? randomGenes());
     // With one feasible zone for every job there is nothing to search: the planner alone decides.
-    if (jobs.every((j) => j.zones.length === 1 || j.everywhere)) return first.plan;
+    if (jobs.every((j) => j.zones.length === 1)) return first.plan;
     const { individuals, generations, planSteps } = this.settings;
     let spent = first.plan.steps;
     let population: Individual[] = [first];
--- a/src/core/scheduler/moves.ts
+++ b/src/core/scheduler/moves.ts
@@ -2,7 +2,7 @@
 import type { Machine } from '../fleet.js';
 import type { Job } from '../jobs.js';
 import { steadyPlus } from '../types.js';
-import { mayHost } from './round.js';
+import { mayHost } from './hosting.js';
 
 const WORTH_S = 6;
 const MOVES_MOST = 3;
--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -24,8 +24,6 @@
 export interface PlanJob extends Resources {
   readonly slot: number;
   readonly gang: boolean;
-  /** Planned over all of its zones by best fit, outside the search. */
-  readonly everywhere: boolean;
   readonly tasks: number;
   readonly durationS: number;
   readonly image: ImageName;
@@ -379,7 +377,7 @@
 
   /** Returns the job's mean wait from now, in seconds. */
   private planJob(job: PlanJob, gene: ZoneName | null, starts: PlannedStart[], unplaced: Map<number, number>): number {
-    if ((gene === null || job.everywhere) && !job.zoneRoom && !(job.gang && job.sameZone)) {
+    if (gene === null && !job.zoneRoom && !(job.gang && job.sameZone)) {
       return job.gang
         ? this.planGang(job, job.zones[0] as ZoneName, starts, unplaced)
         : this.planArray(job, job.zones, job.tasks, starts, unplaced);
--- a/src/core/scheduler/preempt.ts
+++ b/src/core/scheduler/preempt.ts
@@ -2,7 +2,8 @@
 import type { Machine } from '../fleet.js';
 import type { Job, Placement } from '../jobs.js';
 import { steadyPlus } from '../types.js';
-import { couldHost, type RoundResult } from './round.js';
+import { couldHost } from './hosting.js';
+import type { RoundResult } from './round.js';
 
 /** A gang whose room the plan sees no sooner than this, and that has waited so long, may stop lower work. */
 const LATE_S = 6;
@@ -85,7 +86,8 @@
   return best?.options ?? null;
 }
 
-function optionOn(cluster: Cluster, job: Job, m: Machine): Option | null {
+/** What would have to be stopped on a machine for one task of the job, and what that costs; null if it can't be. */
+export function optionOn(cluster: Cluster, job: Job, m: Machine): Option | null {
   const { spec } = job;
   const now = cluster.ctx.now.steady;
   if (!m.usable(now, cluster.ctx.settings.workers.reportMs)) return null;
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -3,10 +3,12 @@
 import type { Machine } from '../fleet.js';
 import { spotDelayS } from '../hazard.js';
 import type { Job, Placement } from '../jobs.js';
-import type { JobId, MachineType, Resources, Steady, TypeName, ZoneName } from '../types.js';
+import type { JobId, Steady, TypeName, ZoneName } from '../types.js';
 import { Evolution } from './evolution.js';
+import { begin, couldHost, type GpuWork, gpuWorkOf, looseRoom, mayHost, overdueS } from './hosting.js';
 import { machineShare, type Plan, type PlanJob, type PlanMachine, type PlannedStart, Planner } from './planner.js';
 import { rankValue, urgency, userWeight } from './priority.js';
+import { waitingServices } from './services.js';
 
 /** What a round found out, for the autoscaler. */
 export interface RoundResult {
@@ -39,6 +41,7 @@
   const { spec } = p.job;
   if (p.stop !== null) return Math.max(report, p.stop.graceS);
   const expected = cluster.estimates.expectS(spec);
+  if (spec.shape === 'service') return expected;
   if (p.runningSince === null) {
     return p.machine.fetchSeconds(spec.image, spec.imageGb, now) + expected;
   }
@@ -54,49 +57,6 @@
   return Math.max(m.type.bootS * 0.15, m.type.bootS * 1.05 - age);
 }
 
-/** For each type with GPUs what GPU work there is now could use beside them, if it had all of them. */
-type GpuWork = ReadonlyMap<TypeName, { readonly cpus: number; readonly memGb: number }>;
-
-/** Once for each type and shape of task, not for each machine: hundreds of machines meet hundreds of shapes. */
-function gpuWorkOf(cluster: Cluster): GpuWork {
-  const shapes = new Map<string, Resources>();
-  for (const { spec, state } of cluster.active) {
-    if (spec.gpus <= 0 || state !== 'accepted') continue;
-    const key = `${spec.gpus}|${spec.cpus}|${spec.memGb}`;
-    if (!shapes.has(key)) shapes.set(key, spec);
-  }
-  const found = new Map<TypeName, { cpus: number; memGb: number }>();
-  for (const type of cluster.types.values()) {
-    const most = { cpus: 0, memGb: 0 };
-    for (const r of shapes.values()) {
-      if (r.gpus > type.gpus) continue;
-      const n = Math.floor(type.gpus / r.gpus + 1e-6);
-      most.cpus = Math.max(most.cpus, Math.min(type.cpus, n * r.cpus));
-      most.memGb = Math.max(most.memGb, Math.min(type.memGb, n * r.memGb));
-    }
-    found.set(type.name, most);
-  }
-  return found;
-}
-
-/**
- * On machines with GPUs, the cores and memory that GPU work has no use for even when it has all the GPUs. Work without
- * GPUs that took more would keep GPUs idle: a gang that needs whole machines would wait for the last small task on each.
- */
-function looseRoom(m: Machine, gpuWork: GpuWork): { cpus: number; memGb: number } {
-  const { type } = m;
-  if (type.gpus === 0) return { cpus: Number.POSITIVE_INFINITY, memGb: Number.POSITIVE_INFINITY };
-  const taken = gpuWork.get(type.name) ?? { cpus: 0, memGb: 0 };
-  let cpus = type.cpus - taken.cpus;
-  let memGb = type.memGb - taken.memGb;
-  for (const { job } of m.placements.values()) {
-    if (job.spec.gpus > 0) continue;
-    cpus -= job.spec.cpus;
-    memGb -= job.spec.memGb;
-  }
-  return { cpus, memGb };
-}
-
 function planMachine(
   cluster: Cluster,
   m: Machine,
@@ -154,17 +114,6 @@
   return most;
 }
 
-export function couldHost(job: Job, type: MachineType, zone: ZoneName): boolean {
-  const { spec } = job;
-  return (
-    (spec.types === null || spec.types.includes(type.name)) &&
-    (spec.zone === null || spec.zone === zone) &&
-    spec.cpus <= type.cpus &&
-    spec.gpus <= type.gpus &&
-    spec.memGb <= type.memGb
-  );
-}
-
 /** Zones that may host the job now: the search draws from these only. */
 function feasibleZones(cluster: Cluster, job: Job, machines: readonly PlanMachine[]): ZoneName[] {
   const { spec } = job;
@@ -207,13 +156,6 @@
   return Number.isFinite(rate) ? job.spec.imageGb / Math.max(0.01, rate) : 0;
 }
 
-/** How much longer than it should a job has waited that has not begun; 0 or less: not too long. */
-function overdueS(cluster: Cluster, job: Job): number {
-  if (job.startTerm !== 0) return 0;
-  const { ctx } = cluster;
-  return (ctx.now.wall - job.submittedAt) / 1000 - ctx.tuning.scheduler.overdue_after_s;
-}
-
 /** One planning round: rank, search zones, plan, and give places to what can start now. */
 export function scheduleRound(cluster: Cluster, seed: number): RoundResult {
   const { ctx } = cluster;
@@ -230,6 +172,8 @@
   const gathering = new Set<string>();
   let ranked: { job: Job; tasks: number; waitedS: number; first: number; value: number }[] = [];
   for (const job of cluster.active) {
+    // Services have been placed before, by best fit outside the search (services.ts).
+    if (job.spec.shape === 'service') continue;
     const waiting = Math.min(job.waiting, TASKS_PLANNED);
     if (waiting <= 0 || job.notBefore > now || cluster.blocked(job, unaccounted)) continue;
     // Jobs of a team at its limit sit this round out.
@@ -293,13 +237,13 @@
     planSteps: tuning.plan_steps,
   });
   const none: Plan = { starts: [], machines: planMachines, cost: 0, unplaced: new Map(), steps: 0 };
-  const oneZone = inFull.every((j) => j.zones.length === 1 || j.everywhere);
+  const oneZone = inFull.every((j) => j.zones.length === 1);
   // Over all zones at once: what starts late here lacks machines, not a better zone. It also seeds the search.
   const free = oneZone || inFull.length === 0 ? null : planner.plan(planMachines, inFull, null);
   const plan = inFull.length > 0 ? search.search(planMachines, inFull, free ? zonesChosen(free, inFull) : null) : none;
   const rest = planJobs.slice(inFull.length);
   const extra = rest.length > 0 ? planner.fillNow(plan, rest, tuning.plan_steps) : [];
-  const capacity = free ?? plan;
+  const capacity = withServices(cluster, free ?? plan, jobs, planJobs, unaccounted);
   const started = apply(cluster, [...plan.starts, ...extra], jobs, machines);
   const placed = new Map<number, number>();
   for (const s of extra) placed.set(s.job, (placed.get(s.job) ?? 0) + s.tasks);
@@ -317,6 +261,21 @@
   return { capacity, jobs, planJobs, machines, beyond, started, steps: planner.steps };
 }
 
+/** Replicas that found no place are work that lacks machines: they take their room for good. */
+function withServices(cluster: Cluster, plan: Plan, jobs: Job[], planJobs: PlanJob[], unaccounted: number): Plan {
+  const unplaced = new Map(plan.unplaced);
+  for (const job of waitingServices(cluster, unaccounted)) {
+    const tasks = Math.min(job.waiting, cluster.quotas.room(job.spec));
+    if (tasks <= 0) continue;
+    const slot = planJobs.length;
+    const waitedS = Math.max(0, (cluster.ctx.now.wall - job.submittedAt) / 1000);
+    planJobs.push(planJob(cluster, job, tasks, feasibleZones(cluster, job, []), waitedS, slot, [], new Map()));
+    jobs.push(job);
+    unplaced.set(slot, tasks);
+  }
+  return { ...plan, unplaced };
+}
+
 /** Types of which gangs wait for whole machines that may not be spot ones. */
 function wantedTypes(cluster: Cluster, waiting: readonly { readonly job: Job }[]): Set<TypeName> {
   const found = new Set<TypeName>();
@@ -390,7 +349,6 @@
   return {
     slot,
     gang: spec.shape === 'gang',
-    everywhere: spec.shape === 'service' && !spec.sameZone,
     tasks,
     durationS: runS,
     cpus: spec.cpus,
@@ -411,22 +369,6 @@
   };
 }
 
-/** Whether one more task of the job may go to this machine, by its job's wishes and the room really free. */
-export function mayHost(cluster: Cluster, job: Job, m: Machine, instead = false): boolean {
-  const { spec } = job;
-  if (
-    !m.usable(cluster.ctx.now.steady, cluster.ctx.settings.workers.reportMs) ||
-    !m.fits(spec) ||
-    (!instead && cluster.quotas.room(spec) < 1)
-  )
-    return false;
-  if (!couldHost(job, m.type, m.zone) || (m.spot && !spec.spotOk)) return false;
-  // `instead`: asked for a place that it would take once it has left all of its present ones.
-  if (instead) return true;
-  if (spec.sameZone) for (const p of job.placements.values()) if (p.machine.zone !== m.zone) return false;
-  return !spec.spread || (job.zoneCounts().get(m.zone) ?? 0) < job.zoneLimit;
-}
-
 /** Gives places in the order of the plan: what was ranked before has first call on its team's limit too. */
 function apply(
   cluster: Cluster,
@@ -478,11 +420,3 @@
   }
   return index;
 }
-
-function begin(cluster: Cluster, job: Job, index: number, machine: Machine, attempt: Placement['attempt']): void {
-  cluster.place(job, index, machine, attempt, 'planned');
-  if (job.startTerm === 0) {
-    job.startTerm = cluster.term;
-    job.startZone = machine.zone;
-  }
-}
--- /dev/null
+++ b/src/core/scheduler/services.ts
@@ -0,0 +1,168 @@
+import type { Cluster } from '../cluster.js';
+import type { Machine } from '../fleet.js';
+import type { Job, Placement } from '../jobs.js';
+import { steadyPlus, type ZoneName } from '../types.js';
+import { begin, couldHost, type GpuWork, gpuWorkOf, looseRoom, mayHost, overdueS } from './hosting.js';
+import { optionOn } from './preempt.js';
+
+/** Seconds of start time that a replica would rather lose than share its machine with another of its service ... */
+const SHARED_S = 8;
+/** ... than take a machine with GPUs, whose spare cores other work may want and which it would keep from being returned ... */
+const GPU_S = 12;
+/** ... and than take a spot machine for each hundredth of a chance to be lost with it within a minute. */
+const SPOT_S = 4;
+/** Room that is made or found for a replica is kept for it so long. */
+const RESERVED_MS = 6000;
+/** So many replicas of one service are on their way to other machines at once. */
+const MOVING_MOST_SHARE = 0.5;
+/** The replicas for which one look makes room by stopping lower work. */
+const STOPPED_FOR_MOST = 24;
+
+/** Services with replicas that wait for a place, those of higher priority first, then those that came first. */
+export function waitingServices(cluster: Cluster, unaccounted: number): Job[] {
+  const now = cluster.ctx.now.steady;
+  const found: Job[] = [];
+  for (const job of cluster.services) {
+    if (job.waiting > 0 && job.notBefore <= now && !cluster.blocked(job, unaccounted)) found.push(job);
+  }
+  return found.sort((a, b) => b.spec.rank - a.spec.rank || a.submittedAt - b.submittedAt || (a.id < b.id ? -1 : 1));
+}
+
+/**
+ * Replicas take the best fit over all zones, outside the search: each goes to the machine where it is there soonest, by
+ * the image to fetch and what it had rather avoid, and of equal ones to that with least room. Where there is no room, lower
+ * arrays are stopped for it, as the page on preemption allows. Cheap enough to follow each event that calls for it.
+ */
+export function placeServices(cluster: Cluster): number {
+  const unaccounted = cluster.countUnaccounted();
+  let placed = 0;
+  let stoppedFor = 0;
+  for (const job of waitingServices(cluster, unaccounted)) {
+    const room = zoneRoom(job);
+    for (const index of job.waitingTasks(job.spec.tasks)) {
+      const m = cluster.quotas.room(job.spec) >= 1 ? bestFor(cluster, job, room) : null;
+      if (!m) break;
+      begin(cluster, job, index, m, cluster.nextAttempt());
+      cluster.starting.add(m);
+      if (m.reserved?.job === job.id) m.reserved = null;
+      take(room, m.zone, job);
+      placed += 1;
+    }
+    while (job.waiting > 0 && stoppedFor < STOPPED_FOR_MOST && makeRoom(cluster, job, room)) stoppedFor += 1;
+  }
+  return placed;
+}
+
+/** Most replicas that each zone may still take; null: no such limit. */
+function zoneRoom(job: Job): Map<ZoneName, number> | null {
+  if (!job.spec.spread) return null;
+  const left = new Map<ZoneName, number>();
+  for (const [zone, n] of job.zoneCounts()) left.set(zone, job.zoneLimit - n);
+  return left;
+}
+
+function take(room: Map<ZoneName, number> | null, zone: ZoneName, job: Job): void {
+  room?.set(zone, (room.get(zone) ?? job.zoneLimit) - 1);
+}
+
+function replicasOn(job: Job, m: Machine): number {
+  let n = 0;
+  for (const p of job.placements.values()) if (p.machine === m) n += 1;
+  return n;
+}
+
+function bestFor(cluster: Cluster, job: Job, room: Map<ZoneName, number> | null, not?: Machine): Machine | null {
+  const { spec } = job;
+  const now = cluster.ctx.now.steady;
+  const lost = 1 - Math.exp(-60 * cluster.hazard.perS);
+  // One that has waited for long takes what there is.
+  const choosy = overdueS(cluster, job) <= 0;
+  let gpuWork: GpuWork | null = null;
+  const isLoose = (m: Machine): boolean => {
+    gpuWork ??= gpuWorkOf(cluster);
+    const left = looseRoom(m, gpuWork);
+    return left.cpus >= spec.cpus && left.memGb >= spec.memGb;
+  };
+  let best: Machine | null = null;
+  let bestS = Number.POSITIVE_INFINITY;
+  let bestSlack = Number.POSITIVE_INFINITY;
+  for (const m of cluster.machines.values()) {
+    if (m === not || !mayHost(cluster, job, m, not !== undefined)) continue;
+    if (m.reserved && m.reserved.until > now && m.reserved.job !== job.id) continue;
+    if (room && (room.get(m.zone) ?? job.zoneLimit) <= 0) continue;
+    if (job.avoids(m.id)) continue;
+    const gpu = spec.gpus === 0 && m.type.gpus > 0;
+    if (gpu && choosy && !isLoose(m)) continue;
+    let s = m.fetchSeconds(spec.image, spec.imageGb, now) + SHARED_S * replicasOn(job, m);
+    if (gpu) s += GPU_S;
+    if (m.spot) s += SPOT_S * 100 * lost;
+    s = Math.round(2 * s);
+    const slack = Math.min(...slacks(m));
+    if (s > bestS || (s === bestS && slack >= bestSlack)) continue;
+    best = m;
+    bestS = s;
+    bestSlack = slack;
+  }
+  return best;
+}
+
+function slacks(m: Machine): number[] {
+  const { type } = m;
+  const of = (used: number, all: number): number => (all > 0 ? (all - used) / all : 1);
+  return [of(m.usedCpus, type.cpus), of(m.usedGpus, type.gpus), of(m.usedMem, type.memGb)];
+}
+
+/** Stops lower arrays on the machine where least is lost; the replica follows when they are gone. */
+function makeRoom(cluster: Cluster, job: Job, room: Map<ZoneName, number> | null): boolean {
+  const { spec } = job;
+  const now = cluster.ctx.now.steady;
+  if (spec.rank === 0 || cluster.quotas.room(spec) < 1) return false;
+  // Room made a moment ago and not yet taken.
+  let coming = 0;
+  for (const m of cluster.machines.values()) {
+    if (m.reserved && m.reserved.job === job.id && m.reserved.until > now) coming += 1;
+  }
+  if (coming >= job.waiting) return false;
+  const plain = [...cluster.types.values()].some((t) => t.gpus === 0 && t.zones.some((z) => couldHost(job, t, z)));
+  let best: { m: Machine; victims: readonly Placement[]; cost: number } | null = null;
+  for (const m of cluster.machines.values()) {
+    if (spec.gpus === 0 && plain && m.type.gpus > 0) continue;
+    if (m.reserved && m.reserved.until > now) continue;
+    if (room && (room.get(m.zone) ?? job.zoneLimit) <= 0) continue;
+    if (spec.sameZone && [...job.placements.values()].some((p) => p.machine.zone !== m.zone)) continue;
+    if (job.avoids(m.id)) continue;
+    const option = optionOn(cluster, job, m);
+    if (!option || option.victims.length === 0) continue;
+    const cost = option.cost + 0.5 * replicasOn(job, m);
+    if (best === null || cost < best.cost) best = { m, victims: option.victims, cost };
+  }
+  if (!best) return false;
+  best.m.reserved = { job: job.id, until: steadyPlus(now, RESERVED_MS) };
+  for (const p of best.victims) {
+    if (p.phase === 'planned') cluster.release(p);
+    else cluster.stop(p, 0);
+  }
+  take(room, best.m.zone, job);
+  cluster.ctx.log('debug', 'lower work makes room for a service', { job: job.id, machine: best.m.id });
+  return true;
+}
+
+/**
+ * A replica on a machine that is about to go moves: its new place is found and kept first, so that the gap is a stop and a
+ * start. Without one it stays where it is. Never more than half of a service at a time.
+ */
+export function moveReplica(cluster: Cluster, p: Placement): boolean {
+  const { job } = p;
+  let moving = 0;
+  for (const other of job.placements.values()) if (other.stop !== null) moving += 1;
+  if (moving + job.waiting >= Math.max(1, Math.ceil(job.spec.tasks * MOVING_MOST_SHARE))) return false;
+  const room = zoneRoom(job);
+  // Its own place comes free with the move.
+  room?.set(p.machine.zone, (room.get(p.machine.zone) ?? job.zoneLimit) + 1);
+  const to = bestFor(cluster, job, room, p.machine);
+  if (!to || (job.spec.sameZone && to.zone !== p.machine.zone)) return false;
+  to.reserved = { job: job.id, until: steadyPlus(cluster.ctx.now.steady, RESERVED_MS) };
+  cluster.ctx.log('info', 'moving a replica', { job: job.id, from: p.machine.id, to: to.id });
+  cluster.stop(p, 0);
+  return true;
+}
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -31,6 +31,9 @@
   readonly store: {
     readonly rps: number;
     readonly writeRps: number;
+    /** The rates that come into force without notice, where lower ones are announced; else the same. */
+    readonly nextRps: number;
+    readonly nextWriteRps: number;
     readonly valueBytes: number;
     readonly txnOps: number;
   };
--- a/src/core/upkeep.ts
+++ b/src/core/upkeep.ts
@@ -1,6 +1,7 @@
 import { workerOutlivesMs } from './bounds.js';
 import type { Cluster } from './cluster.js';
 import { type Machine, QUIET_REPORTS } from './fleet.js';
+import { moveReplica } from './scheduler/services.js';
 import { type Evidence, SLOW_FACTOR } from './slowness.js';
 import { type JobId, type Seq, type Session, type Steady, steadyPlus } from './types.js';
 
@@ -54,6 +55,7 @@
       m.seq = 0n as Seq;
       m.beatSeq = null;
     }
+    m.lateStarts.clear();
     m.accounted = true;
     this.cluster.countUnaccounted();
     this.soonRound();
@@ -116,6 +118,10 @@
           this.cluster.release(p);
           continue;
         }
+        if (p.job.spec.shape === 'service') {
+          moveReplica(this.cluster, p);
+          continue;
+        }
         const leftS = m.noticeUntil === null ? 20 : (m.noticeUntil - now) / 1000;
         const expected = this.cluster.estimates.expectS(p.job.spec);
         const remaining = p.runningSince === null ? expected + 5 : expected - (now - p.runningSince) / 1000;
--- a/src/io/wire.ts
+++ b/src/io/wire.ts
@@ -310,7 +310,8 @@
 }
 
 export function decodeStore(op: StoreOp, status: number, body: unknown): Result<StoreValue> {
-  if (status === 429 || status === 503) return { ok: false, why: 'refused' };
+  if (status === 429) return { ok: false, why: 'refused', throttled: true };
+  if (status === 503) return { ok: false, why: 'refused' };
   if (status === 400) return { ok: false, why: 'rejected' };
   if (status === 409) {
     const failed = (body as { failed?: unknown } | null)?.failed;
--- a/test/codec.test.ts
+++ b/test/codec.test.ts
@@ -130,13 +130,13 @@
   assert.ok(found.ok && found.value.item?.version === 412n);
   const txn = { op: 'txn', conditions: [], changes: [] } as const;
   for (const [status, why] of [
-    [429, 'refused'],
     [503, 'refused'],
     [400, 'rejected'],
     [500, 'unknown'],
   ] as const) {
     assert.deepEqual(decodeStore(txn, status, null), { ok: false, why });
   }
+  assert.deepEqual(decodeStore(txn, 429, null), { ok: false, why: 'refused', throttled: true });
   assert.deepEqual(decodeStore(txn, 409, { failed: ['j/1', 7], molt: 3 }), {
     ok: false,
     why: 'conflict',
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -147,7 +147,6 @@
   return {
     slot,
     gang: false,
-    everywhere: false,
     tasks: 1,
     durationS: 10,
     cpus: 1,
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -38,6 +38,8 @@
 export interface Limits {
   readonly rps: number;
   readonly writeRps: number;
+  /** Announced for later; 0: no other. */
+  readonly nextWriteRps: number;
   readonly valueBytes: number;
   readonly txnOps: number;
   readonly cloudRps: number;
@@ -50,6 +52,7 @@
 export const LIMITS: Limits = {
   rps: 200,
   writeRps: 20,
+  nextWriteRps: 0,
   valueBytes: 8192,
   txnOps: 8,
   cloudRps: 5,
@@ -419,7 +422,7 @@
 
 function makeSettings(name: NodeName, names: readonly NodeName[], options: WorldOptions): Settings {
   const zone = options.zones[0] as ZoneName;
-  const { rps, writeRps, valueBytes, txnOps, cloudRps, reportMs, leaseMs, cancelMs, cpuShare } =
+  const { rps, writeRps, nextWriteRps, valueBytes, txnOps, cloudRps, reportMs, leaseMs, cancelMs, cpuShare } =
     options.limits ?? LIMITS;
   return {
     node: name,
@@ -431,7 +434,7 @@
     teams: options.teams,
     objectives: [],
     workers: { reportMs, leaseMs, gangWaitMs: 40_000, gangPeerMs: 5000, cancelMs },
-    store: { rps, writeRps, valueBytes, txnOps },
+    store: { rps, writeRps, nextRps: rps, nextWriteRps: nextWriteRps || writeRps, valueBytes, txnOps },
     cloud: { rps: cloudRps, listLagMs: 3000 },
     limits: { cpuShare, connections: 2000 },
   };
