--- a/src/core/beats.ts
+++ b/src/core/beats.ts
@@ -208,6 +208,7 @@
     const { steady } = this.ctx.now;
     m.heardAt = steady;
     m.answeredAt = steady;
+    m.reportedAt = steady;
     if (report.addr) m.addr = report.addr;
     if (m.phase !== 'booting') return;
     m.phase = 'up';
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -55,8 +55,10 @@
   tokenSeen = 0n;
   /** The last sign of life: a report newer than any before, or an answer to a direct command. */
   heardAt: Steady;
-  /** The last report that was answered and may have renewed its lease: until when its tasks may be there. */
+  /** When its lease may last have begun anew: by a report that was answered, or a new session; it bounds its tasks' time. */
   answeredAt: Steady;
+  /** Its last report, not counting answers to direct calls. */
+  reportedAt: Steady;
   /** The newest report of the present session; answers to direct commands are numbered in the same row. */
   beatSeq: Seq | null = null;
   /** Known only from a list or a report that may be a late copy, until it shows that what we say reaches it. */
@@ -113,6 +115,7 @@
     this.phase = phase;
     this.heardAt = now;
     this.answeredAt = now;
+    this.reportedAt = now;
     this.proven = accounted && phase === 'booting';
     this.rentedAt = now;
     this.idleSince = now;
@@ -131,11 +134,14 @@
     return this.type.name;
   }
 
-  /** Whether new work may be given to it. A machine not heard of lately may never take what it is given. */
+  /**
+   * Whether new work may be given to it. One whose reports don't come may never take what it is given, and its lease ends
+   * whatever it answers to direct calls (mute-machine.txt, property): those don't count here.
+   */
   usable(now: Steady, reportMs: number): boolean {
     return (
       this.phase === 'up' &&
-      now - this.heardAt < QUIET_REPORTS * reportMs &&
+      now - this.reportedAt < QUIET_REPORTS * reportMs &&
       this.accounted &&
       this.proven &&
       this.deafSince === null &&
--- a/src/core/registry.ts
+++ b/src/core/registry.ts
@@ -92,7 +92,7 @@
     return JSON.stringify(encodePage(machines.map(machineRecord), 0)).length <= this.valueBytes * PAGE_SHARE;
   }
 
-  /** Puts a machine on a page with room, other than `not`. */
+  /** Puts a machine on a page with room, other than `not`; the page is written before long. */
   private put(m: Machine, not: Page | null): Page {
     let page: Page | undefined;
     for (const p of this.pages.values()) {
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -37,7 +37,11 @@
     });
     freed = true;
   }
-  if (m.session !== r.session) m.beatSeq = null;
+  if (m.session !== r.session) {
+    m.beatSeq = null;
+    // A direct call may be the first to tell of a session: its lease began some time before now.
+    m.answeredAt = now;
+  }
   m.session = r.session;
   m.seq = r.seq;
   if (!m.accounted) {
@@ -145,13 +149,13 @@
     job.failedOn.clear();
     job.quickEnds = 0;
   } else if (t.reason === 'done' || t.reason === 'error') {
+    job.failedOn.add(m.id);
     job.quickEnds += 1;
     const pause = job.quickEnds <= QUICK_ENDS_FREE ? 0 : 500 * 2 ** Math.min(6, job.quickEnds - QUICK_ENDS_FREE);
     job.notBefore = steadyPlus(now, Math.min(RESTART_MOST_MS, pause));
   }
   const pausedUntil = job.notBefore;
-  if (t.reason === 'done') job.failedOn.add(m.id);
-  else noteFailure(cluster, m, job, t, p.runningSince !== null);
+  if (t.reason !== 'done') noteFailure(cluster, m, job, t, p.runningSince !== null);
   job.notBefore = Math.max(pausedUntil, job.notBefore) as Steady;
   cluster.wakeServices(job.notBefore);
 }
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -261,11 +261,26 @@
   return { capacity, jobs, planJobs, machines, beyond, started, steps: planner.steps };
 }
 
-/** Replicas that found no place are work that lacks machines: they take their room for good. */
+/** Replicas that found no place are work that lacks machines, unless some that are on their way will take them. */
 function withServices(cluster: Cluster, plan: Plan, jobs: Job[], planJobs: PlanJob[], unaccounted: number): Plan {
   const unplaced = new Map(plan.unplaced);
-  for (const job of waitingServices(cluster, unaccounted)) {
-    const tasks = Math.min(job.waiting, cluster.quotas.room(job.spec));
+  const waiting = waitingServices(cluster, unaccounted);
+  if (waiting.length === 0) return plan;
+  const coming = [...cluster.machines.values()]
+    .filter((m) => m.phase === 'booting' && !m.deleting && m.draining === null)
+    .map((m) => ({ m, cpus: m.type.cpus, gpus: m.type.gpus, memGb: m.type.memGb }));
+  for (const job of waiting) {
+    const { spec } = job;
+    let tasks = Math.min(job.waiting, cluster.quotas.room(spec));
+    for (const c of coming) {
+      if ((c.m.spot && !spec.spotOk) || !couldHost(job, c.m.type, c.m.zone)) continue;
+      while (tasks > 0 && c.cpus >= spec.cpus && c.gpus >= spec.gpus && c.memGb >= spec.memGb) {
+        c.cpus -= spec.cpus;
+        c.gpus -= spec.gpus;
+        c.memGb -= spec.memGb;
+        tasks -= 1;
+      }
+    }
     if (tasks <= 0) continue;
     const slot = planJobs.length;
     const waitedS = Math.max(0, (cluster.ctx.now.wall - job.submittedAt) / 1000);
--- a/src/core/upkeep.ts
+++ b/src/core/upkeep.ts
@@ -28,7 +28,7 @@
     const emptyAfter = workerOutlivesMs(ctx.settings);
     for (const m of this.cluster.machines.values()) {
       // What a silent machine was only meant to get goes elsewhere.
-      if (m.phase === 'up' && now - m.heardAt > QUIET_REPORTS * reportMs) {
+      if (m.phase === 'up' && now - m.reportedAt > QUIET_REPORTS * reportMs) {
         for (const p of [...m.placements.values()]) if (p.phase === 'planned') this.cluster.release(p);
       }
       if (m.phase === 'booting' || now - m.answeredAt <= emptyAfter) continue;
--- a/test/property.test.ts
+++ b/test/property.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { ImageName, JobId, MachineId, Team, TeamName, TypeName, ZoneName } from '../src/core/types.js';
+import { production } from './sim/production.js';
 import { events, makeSpec, tuning } from './sim/scenario.js';
 import { LIMITS, World } from './sim/world.js';
 
@@ -47,13 +48,26 @@
 function randomDay(seed: number): World {
   // On every other day leaders have cores enough to take workers' reports themselves.
   const limits = { ...LIMITS, cpuShare: seed % 2 === 0 ? 0.8 : 0.3 };
-  const world = new World({ seed, nodes: seed % 3 === 0 ? 3 : 5, zones, teams, types, capacity: 14, tuning, limits });
+  const options = { seed, nodes: seed % 3 === 0 ? 3 : 5, zones, teams, types, capacity: 14, tuning, limits };
+  // On every fourth day nodes begin with the version in production and are replaced in some order, while troubles come.
+  const rolled = seed % 4 === 1;
+  const world = new World(rolled ? { ...options, build: old } : options);
   const { clock } = world;
   for (let i = 0; i < 4; i++) {
     world.cloud.add(types[i % 2] as (typeof types)[0], clock.pick(zones), clock.between(0, 1) < 0.4, 1);
   }
   world.startNodes();
   for (let i = 0; i < 16; i++) addJob(world, i, clock.between(1, DAY_S * 0.8));
+  if (rolled) {
+    const order = [...world.nodes].sort(() => clock.between(-1, 1));
+    let at = clock.between(5, 40);
+    for (const n of order) {
+      clock.in(at * 1000, () => events.upgrade?.(world, [n.name, String(clock.between(0.2, 6))]));
+      at += clock.between(1, 25);
+    }
+  }
+  // Nothing new is asked of the service before all have the new version.
+  for (let i = 0; i < 2; i++) addService(world, i, clock.between(rolled ? 170 : 5, DAY_S * 0.8));
   const troubles = Math.floor(clock.between(5, 12));
   for (let i = 0; i < troubles; i++) {
     const at = clock.between(5, DAY_S);
@@ -89,6 +103,29 @@
   if (clock.between(0, 1) < 0.2) clock.in((atS + clock.between(0, 20)) * 1000, () => world.cancel(spec.id));
 }
 
+function addService(world: World, i: number, atS: number): void {
+  const { clock } = world;
+  const options: Record<string, string> = {
+    class: 'service',
+    tasks: String(clock.pick([1, 2, 4])),
+    cpus: '1',
+    team: clock.pick(['red', 'blue']),
+    rank: clock.pick(['1', '3']),
+    estimate: '0',
+  };
+  if (clock.between(0, 1) < 0.4) options.spread = 'yes';
+  const spec = { ...makeSpec(`job-${200 + i}`, 'service', options), image: `img-${i % 4}` as ImageName };
+  clock.in(atS * 1000, () => world.submit(spec, 1e9));
+  clock.in((DAY_S + 150) * 1000, () => {
+    if (world.rules.cancelAsked.has(spec.id)) return;
+    lowAtEnd.set(world, [...(lowAtEnd.get(world) ?? []), `${spec.id} ${world.uptime.last(spec.id)}`]);
+    world.cancel(spec.id);
+  });
+}
+
+/** Which part of each service was up when it was called off, long after all troubles. */
+const lowAtEnd = new WeakMap<World, string[]>();
+
 function addTrouble(world: World, atS: number): void {
   const { clock } = world;
   const node = clock.pick(['perch-0', 'perch-1', 'perch-2', 'perch-4', 'leader', 'leader']);
@@ -135,6 +172,7 @@
   clock.in(atS * 1000, () => events[name]?.(world, words()));
 }
 
+const old = await production();
 const seeds = process.env.SEEDS ? Number(process.env.SEEDS) : 120;
 const from = process.env.SEED_FROM ? Number(process.env.SEED_FROM) : 1;
 
@@ -143,6 +181,8 @@
     const world = randomDay(seed);
     assert.deepEqual(world.rules.broken, [], `seed ${seed} broke a rule`);
     assert.deepEqual(world.errors, [], `seed ${seed} logged an error`);
+    const down = (lowAtEnd.get(world) ?? []).filter((s) => !s.endsWith(' 1'));
+    assert.deepEqual(down, [], `seed ${seed} left services without all of their replicas`);
     const open = [...world.rules.submitted.keys()].filter(
       (id: JobId) => world.rules.isAccepted(id) && !world.rules.finalOf(id),
     );
--- a/test/scenarios.test.ts
+++ b/test/scenarios.test.ts
@@ -4,7 +4,8 @@
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
-import { parseScenario, runScenario } from './sim/scenario.js';
+import { production } from './sim/production.js';
+import { parseScenario, runScenario, usesProduction } from './sim/scenario.js';
 
 const dir = fileURLToPath(new URL('../../../test/scenarios/', import.meta.url));
 const only = process.env.SCENARIO;
@@ -12,8 +13,8 @@
 for (const file of readdirSync(dir).sort()) {
   if (!file.endsWith('.txt') || (only && !file.includes(only))) continue;
   const scenario = parseScenario(join(dir, file));
-  test(`${file}: ${scenario.title}`, () => {
-    const { world, failures } = runScenario(scenario);
+  test(`${file}: ${scenario.title}`, async () => {
+    const { world, failures } = runScenario(scenario, usesProduction(scenario) ? await production() : null);
     assert.deepEqual([...failures, ...world.errors], []);
   });
 }
--- a/test/sim/idle_room.ts
+++ b/test/sim/idle_room.ts
@@ -29,7 +29,7 @@
         this.since.delete(spec.id);
         continue;
       }
-      const since = this.since.get(spec.id) ?? clock.now;
+      const since = Math.max(this.since.get(spec.id) ?? clock.now, rules.lastStart.get(spec.id) ?? 0);
       this.since.set(spec.id, since);
       if (clock.now - since < WAIT_MS || this.told.has(spec.id)) continue;
       this.told.add(spec.id);
--- a/test/sim/rules.ts
+++ b/test/sim/rules.ts
@@ -28,6 +28,8 @@
   /** Submissions that can never run or lack a field. */
   readonly neverRuns = new Set<JobId>();
   onDone: (job: JobId) => void = () => {};
+  readonly refused = new Set<JobId>();
+  readonly lastStart = new Map<JobId, number>();
   readonly usedMachines = new Set<string>();
   private readonly submittedAt = new Map<JobId, number>();
   private readonly begunAt = new Map<JobId, number>();
@@ -79,7 +81,7 @@
     };
     const byClass = new Map<string, JobSpec[]>();
     for (const spec of this.submitted.values()) {
-      if (!this.accepted.has(spec.id) || this.cancelAsked.has(spec.id)) continue;
+      if (!this.accepted.has(spec.id) || this.cancelAsked.has(spec.id) || spec.shape === 'service') continue;
       count(`class ${spec.jobClass}`, this.isDone(spec.id));
       count(`team ${spec.team}`, this.isDone(spec.id));
       byClass.set(spec.jobClass, [...(byClass.get(spec.jobClass) ?? []), spec]);
@@ -122,6 +124,7 @@
     this.starts += 1;
     this.usedMachines.add(machine);
     if (!this.begunAt.has(job)) this.begunAt.set(job, this.clock.now);
+    this.lastStart.set(job, this.clock.now);
     const spec = this.submitted.get(job);
     if (!spec) return this.breaks('invented', `${job}/${index} started`);
     let tasks = this.on.get(job);
@@ -207,6 +210,7 @@
   /** An answer that reached a user. */
   told(job: JobId, answer: UserAnswer): void {
     if (!('mood' in answer)) {
+      if (answer.status === 422) this.refused.add(job);
       const known = this.accepted.has(job);
       if (known && answer.status === 404) this.breaks('forgotten', `${job} answered 404`);
       if (known && (answer.status === 400 || answer.status === 422)) this.breaks('forgotten', `${job} refused`);
--- a/test/sim/scenario.ts
+++ b/test/sim/scenario.ts
@@ -13,7 +13,7 @@
   TypeName,
   ZoneName,
 } from '../../src/core/types.js';
-import { LIMITS, type Limits, World } from './world.js';
+import { type Build, LIMITS, type Limits, PRESENT, World } from './world.js';
 
 /*
  * A scenario is a text file, one statement a line, `#` for comments:
@@ -22,6 +22,7 @@
  *   team NAME key=value ...
  *   at S EVENT ...        (see `events` below)
  *   every FROM TO STEP EVENT ...   (the time is added to the first word, a job's id)
+ *   production            (the nodes run the build in production at first, see `upgrade`)
  *   until S
  *   expect CHECK ...      (see `checks` below; "rules kept" is always checked)
  */
@@ -43,6 +44,7 @@
   'every',
   'until',
   'expect',
+  'production',
 ]);
 
 export function parseScenario(file: string): Scenario {
@@ -127,6 +129,9 @@
   };
 }
 
+/** Its nodes run the build in production at first. */
+export const usesProduction = (s: Scenario): boolean => s.lines.some((l) => l.words[0] === 'production');
+
 function readLimits(s: Scenario): Limits {
   const limits: Record<keyof Limits, number> = { ...LIMITS };
   for (const { n, words } of s.lines.filter((l) => l.words[0] === 'limits')) {
@@ -143,7 +148,8 @@
   readonly failures: string[];
 }
 
-export function runScenario(s: Scenario): Outcome {
+/** `old`: the build in production, for scenarios that begin with it. */
+export function runScenario(s: Scenario, old: Build | null = null): Outcome {
   const value = (key: string): string | undefined => s.lines.find((l) => l.words[0] === key)?.words[1];
   const zones = (s.lines.find((l) => l.words[0] === 'zones')?.words.slice(1) ?? ['a']) as ZoneName[];
   const types = TYPES.map((t) => ({ ...t, zones }));
@@ -170,6 +176,7 @@
     capacity: Number(value('capacity') ?? 8),
     tuning,
     limits: readLimits(s),
+    ...(usesProduction(s) && old ? { build: old } : {}),
   });
   for (const { n, words } of s.lines.filter((l) => l.words[0] === 'machines')) {
     const type = types.find((t) => t.name === words[2]);
@@ -339,11 +346,23 @@
     world.state.lateWrites(Number(share), lasts(world, s));
     world.rules.troublesUntil += 12_000;
   },
-  /** lower-limits valueBytes=N txnOps=N: the state service takes less from now on */
+  /** lower-limits valueBytes=N txnOps=N writeRps=N: the state service takes less from now on */
   'lower-limits'(world, words) {
     const o = readOptions(words);
     const { valueBytes, txnOps } = world.limits;
-    world.state.lower({ valueBytes: num(o, 'valueBytes', valueBytes), txnOps: num(o, 'txnOps', txnOps) });
+    const writeRps = num(o, 'writeRps', Number.POSITIVE_INFINITY);
+    world.state.lower({ valueBytes: num(o, 'valueBytes', valueBytes), txnOps: num(o, 'txnOps', txnOps), writeRps });
+  },
+  /** upgrade NODE|all BACK [EVERY]: it ends and comes back with the present build, one after the other with EVERY */
+  upgrade(world, [which, back, every]) {
+    nodesNamed(world, which).forEach((n, i) => {
+      const at = i * Number(every ?? 0) * 1000;
+      lasts(world, String(at / 1000 + Number(back ?? 3)));
+      world.clock.in(at, () => {
+        n.become(PRESENT);
+        events.crash?.(world, [n.name, back ?? '3']);
+      });
+    });
   },
   /** gap AFTER S: the leader alone is refused, jobs are called off, and AFTER seconds later the state service is out */
   gap(world, [after, s]) {
@@ -479,6 +498,8 @@
     case 1:
       return impossible('array', { types: 'nosuch' });
     case 2:
+      // The version in production takes these: it may have been asked.
+      if (world.bytes) return;
       return impossible('gang', {
         tasks: '3',
         sameZone: 'yes',
@@ -585,6 +606,32 @@
     const late = ids.filter((id) => world.rules.goneMs(id as JobId) > Number(s) * 1000);
     return late.length === 0 ? null : `not gone in time: ${late.join(' ')}`;
   },
+  /** expect up SHARE AFTER JOB ...: of the replica time from so many seconds on, that share was served */
+  up(world, [share, after, ...ids]) {
+    const low = ids.filter((id) => world.uptime.share(id as JobId, Number(after) * 1000) < Number(share));
+    const told = low.map((id) => `${id} ${world.uptime.share(id as JobId, Number(after) * 1000).toFixed(3)}`);
+    return low.length === 0 ? null : `not up enough: ${told.join(', ')}`;
+  },
+  /** expect up-now SHARE JOB ...: that part of the replicas runs at the end */
+  'up-now'(world, [share, ...ids]) {
+    const low = ids.filter((id) => world.uptime.last(id as JobId) < Number(share));
+    return low.length === 0 ? null : `not up at the end: ${low.join(' ')}`;
+  },
+  /** expect running JOB ...: accepted and never told to be over */
+  running(world, ids) {
+    const over = ids.filter((id) => !world.rules.isAccepted(id as JobId) || world.rules.finalOf(id as JobId));
+    return over.length === 0 ? null : `over: ${over.join(' ')}`;
+  },
+  /** expect refused JOB ...: answered that they can never run */
+  refused(world, ids) {
+    const taken = ids.filter((id) => !world.rules.refused.has(id as JobId));
+    return taken.length === 0 ? null : `not refused: ${taken.join(' ')}`;
+  },
+  /** expect largest-page BYTES: no page of the registry is longer at the end */
+  'largest-page'(world, [n]) {
+    const longest = Math.max(...world.state.keys('m/').map((k) => JSON.stringify(world.state.item(k)?.value).length));
+    return longest <= Number(n) ? null : `a page of ${longest} bytes`;
+  },
   rented(world, [, n]) {
     return world.cloud.rentals <= Number(n) ? null : `${world.cloud.rentals} machines rented, more than ${n}`;
   },
--- a/test/sim/state_service.ts
+++ b/test/sim/state_service.ts
@@ -25,6 +25,11 @@
   private watchers = new Set<() => void>();
   private down = false;
   private lateShare = 0;
+  private writeRps = Number.POSITIVE_INFINITY;
+  private tokens = 0;
+  private tokensAt = 0;
+  /** Transactions refused for coming too often. */
+  throttled = 0;
   private slowness = 1;
   /** Transactions that were carried out late. */
   lateDone = 0;
@@ -77,8 +82,24 @@
   }
 
   /** Lowers what a value and a transaction may be, as the real one does without notice. */
-  lower(limits: { txnOps: number; valueBytes: number }): void {
+  lower(limits: { txnOps: number; valueBytes: number; writeRps?: number }): void {
     this.limits = limits;
+    this.writeRps = limits.writeRps ?? Number.POSITIVE_INFINITY;
+    this.tokens = this.writeRps;
+    this.tokensAt = this.clock.now;
+  }
+
+  /** Whether the changes are within the rate, with bursts of a second's worth. */
+  private mayWrite(n: number): boolean {
+    if (!Number.isFinite(this.writeRps)) return true;
+    this.tokens = Math.min(this.writeRps, this.tokens + ((this.clock.now - this.tokensAt) / 1000) * this.writeRps);
+    this.tokensAt = this.clock.now;
+    if (this.tokens < n) {
+      this.throttled += 1;
+      return false;
+    }
+    this.tokens -= n;
+    return true;
   }
 
   private carryOutLate(op: StoreOp): void {
@@ -91,6 +112,9 @@
     const latency = this.clock.between(1, 6) * this.slowness;
     this.clock.in(latency, () => {
       if (this.down || this.refused.has(from)) return reply(no('refused'));
+      if (op.op === 'txn' && !this.mayWrite(op.changes.length)) {
+        return reply({ ok: false, why: 'refused', throttled: true });
+      }
       if (this.blind.has(from) && tellsOfJobs(op)) return reply(no('refused'));
       if (this.lateShare > 0 && op.op === 'txn' && op.changes.length > 0) {
         if (this.clock.between(0, 1) < this.lateShare) {
--- /dev/null
+++ b/test/sim/uptime.ts
@@ -0,0 +1,47 @@
+import type { JobId } from '../../src/core/types.js';
+import type { World } from './world.js';
+
+const LOOK_MS = 500;
+
+/** Which part of a service's replica time was served, second by second. */
+export class Uptime {
+  private readonly samples = new Map<JobId, { at: number; up: number }[]>();
+
+  constructor(private readonly world: World) {}
+
+  begin(): void {
+    const look = (): void => {
+      this.look();
+      this.world.clock.in(LOOK_MS, look);
+    };
+    this.world.clock.in(LOOK_MS, look);
+  }
+
+  private look(): void {
+    const { rules, workers, clock } = this.world;
+    const running = new Map<JobId, number>();
+    for (const w of workers.values()) {
+      if (w.hung) continue;
+      for (const t of w.tasks.values()) if (t.phase === 'running') running.set(t.job, (running.get(t.job) ?? 0) + 1);
+    }
+    for (const spec of rules.submitted.values()) {
+      if (spec.shape !== 'service' || !rules.isAccepted(spec.id) || rules.cancelAsked.has(spec.id)) continue;
+      const of = this.samples.get(spec.id) ?? [];
+      of.push({ at: clock.now, up: Math.min(1, (running.get(spec.id) ?? 0) / spec.tasks) });
+      this.samples.set(spec.id, of);
+    }
+  }
+
+  /** From so long after its first sample on. */
+  share(job: JobId, afterMs: number): number {
+    const all = this.samples.get(job) ?? [];
+    const from = (all[0]?.at ?? 0) + afterMs;
+    const counted = all.filter((s) => s.at >= from);
+    return counted.length === 0 ? 0 : counted.reduce((sum, s) => sum + s.up, 0) / counted.length;
+  }
+
+  /** The part that is up at the last look. */
+  last(job: JobId): number {
+    return this.samples.get(job)?.at(-1)?.up ?? 0;
+  }
+}
--- a/test/sim/worker.ts
+++ b/test/sim/worker.ts
@@ -104,7 +104,9 @@
     t.reason = reason;
     t.saved = saved;
     this.changed = true;
-    if (reason === 'done') this.world.rules.completed(t.job, t.index);
+    // A replica that ends has no result.
+    const service = this.world.rules.submitted.get(t.job)?.shape === 'service';
+    if (reason === 'done' && !service) this.world.rules.completed(t.job, t.index);
   }
 
   private tick(): void {
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -25,6 +25,7 @@
   WorkerReport,
   ZoneName,
 } from '../../src/core/types.js';
+import { encodeFrame, FrameSplitter, type PeerFrame } from '../../src/io/peer_codec.js';
 import { Clock } from './clock.js';
 import { Cloud } from './cloud.js';
 import { IdleRoom } from './idle_room.js';
@@ -32,6 +33,7 @@
 import { Network } from './network.js';
 import { Rules } from './rules.js';
 import { StateService } from './state_service.js';
+import { Uptime } from './uptime.js';
 import { type Task, Worker } from './worker.js';
 
 /** What a deployment allows and asks, as its settings say it. */
@@ -40,6 +42,8 @@
   readonly writeRps: number;
   /** Announced for later; 0: no other. */
   readonly nextWriteRps: number;
+  readonly nextValueBytes: number;
+  readonly nextTxnOps: number;
   readonly valueBytes: number;
   readonly txnOps: number;
   readonly cloudRps: number;
@@ -53,6 +57,8 @@
   rps: 200,
   writeRps: 20,
   nextWriteRps: 0,
+  nextValueBytes: 0,
+  nextTxnOps: 0,
   valueBytes: 8192,
   txnOps: 8,
   cloudRps: 5,
@@ -76,11 +82,23 @@
   readonly capacity: number;
   readonly tuning: Tuning;
   readonly limits?: Limits;
+  /** What the nodes run at first, where it isn't the present build; peers then speak over bytes. */
+  readonly build?: Build;
 }
 
+/** The parts of a build that a world needs: this one's, or an earlier one's. */
+export interface Build {
+  readonly Node: typeof Node;
+  readonly encodeFrame: typeof encodeFrame;
+  readonly FrameSplitter: typeof FrameSplitter;
+}
+export const PRESENT: Build = { Node, encodeFrame, FrameSplitter };
+
 /** A controller process as the world runs it: killed without a word, started again with nothing. */
 class Controller {
   private node: Node | null = null;
+  /** One for each peer that speaks to it over bytes. */
+  private splitters = new Map<NodeName, FrameSplitter>();
   private waits = new Map<number, (a: never) => void>();
   private requests = 0;
   private timerSeq = 0;
@@ -92,9 +110,15 @@
   constructor(
     private readonly world: World,
     readonly name: NodeName,
-    private readonly settings: Settings,
+    private readonly settings: (build: Build) => Settings,
+    private build: Build,
   ) {}
 
+  /** From its next start on it runs another build. */
+  become(build: Build): void {
+    this.build = build;
+  }
+
   get up(): boolean {
     return this.node !== null;
   }
@@ -109,8 +133,8 @@
     this.starts += 1;
     this.epoch += 1;
     const { world } = this;
-    this.node = new Node(
-      this.settings,
+    this.node = new this.build.Node(
+      this.settings(this.build),
       world.options.tuning,
       `${this.name}-${this.starts}`,
       world.options.seed + this.starts,
@@ -121,6 +145,7 @@
 
   crash(): void {
     this.node = null;
+    this.splitters.clear();
     this.frozenUntil = 0;
     this.waiting = [];
     this.waits.clear();
@@ -220,6 +245,11 @@
       }
       case 'peer': {
         const to = world.nodes.find((n) => n.name === o.to);
+        if (world.bytes) {
+          const frame = this.build.encodeFrame(o.message);
+          network.send(this.name, o.to, () => to?.fromPeerBytes(this.name, frame));
+          break;
+        }
         world.meters.frame(o.message);
         network.send(this.name, o.to, () => to?.fromPeer(this.name, o.message));
         break;
@@ -236,6 +266,22 @@
     this.step({ kind: 'peer', from, message });
   }
 
+  /** As the link does it: a frame that the build can't take ends the connection. */
+  fromPeerBytes(from: NodeName, frame: Buffer): void {
+    if (!this.node) return;
+    const splitter = this.splitters.get(from) ?? new this.build.FrameSplitter();
+    this.splitters.set(from, splitter);
+    let frames: PeerFrame[];
+    try {
+      frames = splitter.push(frame);
+    } catch (e) {
+      this.splitters.delete(from);
+      this.world.errors.push(`${this.name} ended the link from ${from}: ${(e as Error).message}`);
+      return;
+    }
+    for (const f of frames) if (f.kind !== 'hello') this.fromPeer(from, f);
+  }
+
   beat(report: WorkerReport, reply: (a: WorkerAnswer) => void): void {
     if (!this.node) return;
     const req = ++this.requests;
@@ -274,6 +320,9 @@
   copiesUntil = 0;
   /** Leases that ran out on workers with tasks. */
   leasesLost = 0;
+  /** Peers' messages go through the codecs of both ends. */
+  readonly bytes: boolean;
+  readonly uptime = new Uptime(this);
   verbose = process.env.SIM_LOG === '1';
   private readonly jobs = new Map<JobId, UserJob>();
   /** Of the jobs that end before then this share is called off just then. */
@@ -283,6 +332,7 @@
 
   constructor(readonly options: WorldOptions) {
     this.clock = new Clock(options.seed);
+    this.bytes = options.build !== undefined;
     this.network = new Network(this.clock);
     this.limits = options.limits ?? LIMITS;
     this.settings = { lease: this.limits.leaseMs, report: this.limits.reportMs, gangWait: 40_000, gangPeer: 5000 };
@@ -296,9 +346,12 @@
       this.clock.in(after, () => this.cancel(job));
     };
     new IdleRoom(this);
+    this.uptime.begin();
     const names = Array.from({ length: options.nodes }, (_, i) => `perch-${i}` as NodeName);
     for (const name of names) {
-      this.nodes.push(new Controller(this, name, makeSettings(name, names, options)));
+      this.nodes.push(
+        new Controller(this, name, (b) => makeSettings(name, names, options, b), options.build ?? PRESENT),
+      );
     }
     this.cloud = new Cloud(this.clock, options.types, options.capacity, 3000, {
       boot: (id, type, zone, spot) => this.boot(id, type, zone, spot),
@@ -420,10 +473,11 @@
   }
 }
 
-function makeSettings(name: NodeName, names: readonly NodeName[], options: WorldOptions): Settings {
+function makeSettings(name: NodeName, names: readonly NodeName[], options: WorldOptions, build: Build): Settings {
   const zone = options.zones[0] as ZoneName;
-  const { rps, writeRps, nextWriteRps, valueBytes, txnOps, cloudRps, reportMs, leaseMs, cancelMs, cpuShare } =
-    options.limits ?? LIMITS;
+  const limits = options.limits ?? LIMITS;
+  const { rps, writeRps, nextWriteRps, nextValueBytes, nextTxnOps, valueBytes, txnOps, cloudRps } = limits;
+  const { reportMs, leaseMs, cancelMs, cpuShare } = limits;
   return {
     node: name,
     zone,
@@ -434,7 +488,15 @@
     teams: options.teams,
     objectives: [],
     workers: { reportMs, leaseMs, gangWaitMs: 40_000, gangPeerMs: 5000, cancelMs },
-    store: { rps, writeRps, nextRps: rps, nextWriteRps: nextWriteRps || writeRps, valueBytes, txnOps },
+    store: {
+      rps,
+      writeRps,
+      nextRps: rps,
+      nextWriteRps: nextWriteRps || writeRps,
+      // Builds before it know nothing of limits announced for later.
+      valueBytes: build === PRESENT ? Math.min(valueBytes, nextValueBytes || valueBytes) : valueBytes,
+      txnOps: build === PRESENT ? Math.min(txnOps, nextTxnOps || txnOps) : txnOps,
+    },
     cloud: { rps: cloudRps, listLagMs: 3000 },
     limits: { cpuShare, connections: 2000 },
   };
