--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -60,6 +60,7 @@
   preempted = 0;
   /** Of a service: replicas that ended soon after their start, one after the other. */
   quickEnds = 0;
+  quickEndAt = 0 as Steady;
   private scan = 0;
 
   constructor(record: JobRecord, version: Revision) {
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -150,7 +150,11 @@
     job.quickEnds = 0;
   } else if (t.reason === 'done' || t.reason === 'error') {
     job.failedOn.add(m.id);
-    job.quickEnds += 1;
+    // Replicas that began together and end together have failed once.
+    if (p.since >= job.quickEndAt) {
+      job.quickEnds += 1;
+      job.quickEndAt = now;
+    }
     const pause = job.quickEnds <= QUICK_ENDS_FREE ? 0 : 500 * 2 ** Math.min(6, job.quickEnds - QUICK_ENDS_FREE);
     job.notBefore = steadyPlus(now, Math.min(RESTART_MOST_MS, pause));
   }
