A job of which nothing runs takes what room there is after 70 s: small work waited for ever beside idle GPU machines

Reluctance and loose cores now fade for a job of which nothing runs, over 35 to 70 s, and four tasks of it go on.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -71,6 +71,7 @@
     }
     const job = new Job(record, version);
     if (this.cancelledByWord.delete(job.id) && job.state === 'accepted') job.state = 'cancelled';
+    job.quietSince = this.ctx.now.steady;
     this.jobs.set(job.id, job);
     this.imageGb.set(job.spec.image, job.spec.imageGb);
     const user = this.imageUsers.get(job.spec.image);
@@ -147,6 +148,7 @@
     const { job, machine } = p;
     if (job.placements.get(p.index) !== p) return;
     job.placements.delete(p.index);
+    if (job.placements.size === 0) job.quietSince = this.ctx.now.steady;
     machine.remove(p, this.ctx.now.steady);
     this.quotas.add(job.spec, -1);
     job.freed(p.index);
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -61,6 +61,8 @@
   /** Of a service: replicas that ended soon after their start, one after the other. */
   quickEnds = 0;
   quickEndAt = 0 as Steady;
+  /** Since when nothing of it has been on any machine, or it is known here. */
+  quietSince = 0 as Steady;
   private scan = 0;
 
   constructor(record: JobRecord, version: Revision) {
--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -41,6 +41,8 @@
   readonly boundTo: ZoneName | null;
   readonly weight: number;
   readonly waitedS: number;
+  /** How much of its reluctance is left, 1 to 0: a job of which nothing has run for long takes what there is. */
+  readonly choosy: number;
   /** Machines it had better not use. */
   readonly avoid: ReadonlySet<number> | null;
 }
@@ -144,8 +146,8 @@
 }
 
 /** As `fitCount`, and without taking from GPU work what it needs beside its GPUs. */
-function fits(m: PlanMachine, k: number, needS: number, r: Resources): number {
-  if (r.gpus > 0 || m.type.gpus === 0) return fitCount(m, k, needS, r);
+function fits(m: PlanMachine, k: number, needS: number, r: PlanJob): number {
+  if (r.gpus > 0 || m.type.gpus === 0 || r.choosy === 0) return fitCount(m, k, needS, r);
   const loose = Math.min(
     r.cpus > 0 ? m.looseCpus / r.cpus : Number.POSITIVE_INFINITY,
     r.memGb > 0 ? m.looseMem / r.memGb : Number.POSITIVE_INFINITY,
@@ -423,9 +425,8 @@
     let s = 0;
     if (job.gpus === 0 && m.type.gpus > 0) s += gpuS;
     if (job.spotOk && !m.spot) s += m.wanted && !job.gang ? wantedS : ordinaryS;
-    if (m.spot) s += job.spotDelayS;
     if (m.warmShare > share + 0.01) s += warmS;
-    return s;
+    return s * job.choosy + (m.spot ? job.spotDelayS : 0);
   }
 
   private candidates(job: PlanJob, slots: readonly number[]): Candidate[] {
@@ -441,7 +442,13 @@
       }
       if (share < 0) continue;
       // Most machines with GPUs have nothing loose: looking no further there is a third of the cost of small work.
-      if (job.gpus === 0 && m.type.gpus > 0 && (m.looseCpus + EPS < job.cpus || m.looseMem + EPS < job.memGb)) continue;
+      if (
+        job.gpus === 0 &&
+        job.choosy > 0 &&
+        m.type.gpus > 0 &&
+        (m.looseCpus + EPS < job.cpus || m.looseMem + EPS < job.memGb)
+      )
+        continue;
       found.push({
         slot,
         machine: m,
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -28,6 +28,10 @@
 }
 
 const NOW_S = 0.05;
+/** A job of which nothing runs is as choosy as its preferences say for so long, and not at all after twice that. */
+const CHOOSY_S = 35;
+/** So many tasks of it do to go on where others would rather have the room. */
+const BEGIN_TASKS = 4;
 const OVERDUE_TASKS = 20;
 /** A task that takes more of a machine than this needs a whole one. */
 const WHOLE_SHARE = 0.6;
@@ -188,7 +192,10 @@
     const waitedS = Math.max(0, (ctx.now.wall - job.submittedAt) / 1000);
     // Smallest first alone would let the largest wait for as long as smaller work keeps coming. A job that has waited too
     // long goes before all others until it has begun; of an array a part is enough for that, so that others go on too.
-    const tasks = isOverdue && job.spec.shape !== 'gang' ? Math.min(all, OVERDUE_TASKS) : all;
+    let tasks = isOverdue && job.spec.shape !== 'gang' ? Math.min(all, OVERDUE_TASKS) : all;
+    if (job.spec.shape !== 'gang' && job.spec.gpus === 0 && choosy(cluster, job) === 0) {
+      tasks = Math.min(tasks, BEGIN_TASKS);
+    }
     const runS = cluster.estimates.expectS(job.spec);
     const value =
       rankValue(job.spec, tasks, runS, waitedS, tuning.priority_base) /
@@ -336,6 +343,14 @@
   return [...seen.values()];
 }
 
+/** How much is left of what a job would rather not use: nothing may keep it waiting beside room for ever. */
+function choosy(cluster: Cluster, job: Job): number {
+  if (job.placements.size > 0) return 1;
+  const { steady, wall } = cluster.ctx.now;
+  const quietS = (job.startTerm === 0 ? wall - job.submittedAt : steady - job.quietSince) / 1000;
+  return Math.min(1, Math.max(0, 1 - (quietS - CHOOSY_S) / CHOOSY_S));
+}
+
 function planJob(
   cluster: Cluster,
   job: Job,
@@ -380,6 +395,7 @@
     boundTo: spec.zone ?? (spec.sameZone && job.placements.size > 0 ? (zones[0] as ZoneName) : null),
     weight: userWeight(spec.rank, cluster.ctx.tuning.scheduler.priority_base),
     waitedS,
+    choosy: choosy(cluster, job),
     avoid: avoid.size > 0 ? avoid : null,
   };
 }
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -163,6 +163,7 @@
     boundTo: null,
     weight: 1,
     waitedS: 0,
+    choosy: 1,
     avoid: null,
     ...over,
   };
