--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -109,7 +109,9 @@
 
   /** Replicas wait for a place, or room was made for one: looked at soon, not with the next round. */
   wakeServices(at: Steady = this.ctx.now.steady): void {
-    if (this.services.size === 0) return;
+    let waits = false;
+    for (const job of this.services) if (job.waiting > 0) waits = true;
+    if (!waits) return;
     const due = this.ctx.timers.at('services');
     const soon = Math.max(
       at,
--- a/src/core/scheduler/services.ts
+++ b/src/core/scheduler/services.ts
@@ -34,6 +34,7 @@
  * arrays are stopped for it, as the page on preemption allows. Cheap enough to follow each event that calls for it.
  */
 export function placeServices(cluster: Cluster): number {
+  if (![...cluster.services].some((job) => job.waiting > 0)) return 0;
   const unaccounted = cluster.countUnaccounted();
   let placed = 0;
   let stoppedFor = 0;
--- a/test/sim/rules.ts
+++ b/test/sim/rules.ts
@@ -111,6 +111,10 @@
     return late;
   }
 
+  unregistered(machine: string): void {
+    this.breaks('unregistered', `${machine} is rented and no longer on record`);
+  }
+
   /** A job has waited beside room for it, long after all troubles. */
   idleRoom(job: JobId, machine: MachineId): void {
     this.breaks('idle_room', `${job} waits while ${machine} has room`);
--- a/test/sim/scenario.ts
+++ b/test/sim/scenario.ts
@@ -596,6 +596,12 @@
   'refused-sizes'(world, [, n]) {
     return world.state.rejected <= Number(n) ? null : `${world.state.rejected} transactions too large, more than ${n}`;
   },
+  /** expect throttled at-most N: transactions that the state service refused for coming too often */
+  throttled(world, [, n]) {
+    return world.state.throttled <= Number(n)
+      ? null
+      : `${world.state.throttled} transactions throttled, more than ${n}`;
+  },
   /** expect cancelled-of N JOB ...: at least so many of them were cancelled */
   'cancelled-of'(world, [n, ...ids]) {
     const gone = ids.filter((id) => world.rules.finalOf(id as JobId) === 'cancelled');
--- a/test/sim/state_service.ts
+++ b/test/sim/state_service.ts
@@ -42,6 +42,8 @@
   /** The longest value that was written, as text. */
   longest = 0;
   /** Called before an operation is carried out and once more before its answer leaves. */
+  /** Called after a transaction that changed these keys. */
+  onChanged: (keys: readonly string[]) => void = () => {};
   onOp: (from: string, op: StoreOp, carriedOut: boolean) => void = () => {};
 
   constructor(
@@ -227,6 +229,7 @@
       this.events.push({ put: c.put, value: c.value, version });
     }
     this.notify();
+    this.onChanged(op.changes.map((c) => ('drop' in c ? c.drop : c.put)));
     return yes({ revision: revision(this.rev) });
   }
 
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -10,6 +10,7 @@
   WorkerValue,
 } from '../../src/core/messages.js';
 import { Node } from '../../src/core/node.js';
+import { decodePage, MACHINE_PREFIX } from '../../src/core/records.js';
 import type { Settings, Tuning } from '../../src/core/settings.js';
 import type {
   Attempt,
@@ -316,6 +317,7 @@
   readonly limits: Limits;
   readonly settings: { lease: number; report: number; gangWait: number; gangPeer: number };
   readonly meters: Meters;
+  private readonly onRecord = new Set<string>();
   /** Until then every report is delivered once more, late. */
   copiesUntil = 0;
   /** Leases that ran out on workers with tasks. */
@@ -345,6 +347,9 @@
       const after = this.clock.between(0, 1) < 0.5 ? 0 : this.clock.between(0, 2500);
       this.clock.in(after, () => this.cancel(job));
     };
+    this.state.onChanged = (keys) => {
+      if (keys.some((k) => k.startsWith(MACHINE_PREFIX))) this.checkRegistry();
+    };
     new IdleRoom(this);
     this.uptime.begin();
     const names = Array.from({ length: options.nodes }, (_, i) => `perch-${i}` as NodeName);
@@ -370,6 +375,19 @@
     this.workers.set(id, new Worker(this, id, type, zone, spot));
   }
 
+  /** A machine once on record stays there for as long as it is rented, whatever is rewritten on the way. */
+  private checkRegistry(): void {
+    const now = new Set<string>();
+    for (const key of this.state.keys(MACHINE_PREFIX)) {
+      for (const m of decodePage(this.state.item(key)?.value) ?? []) now.add(m.id);
+    }
+    for (const id of this.onRecord) {
+      if (!now.has(id) && this.cloud.machines.has(id as MachineId)) this.rules.unregistered(id);
+      if (!now.has(id)) this.onRecord.delete(id);
+    }
+    for (const id of now) this.onRecord.add(id);
+  }
+
   /** The leader as the store knows it. */
   leader(): Controller | undefined {
     const value = this.state.item('leader')?.value as { node?: string } | undefined;
