--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -120,6 +120,17 @@
   assert.deepEqual(seen.at(-1), { op: 'cancel', id: 'job-78' });
 });
 
+test('users: a service is taken with a run time of 0; one of an unknown shape, without a field or below zero is not', async () => {
+  const service = { ...job, ref: 'job-77', shape: 'daemon', flight_s: 0, chicks: 3 };
+  assert.equal((await ask('POST', '/v2/runs', encode(service))).status, 201);
+  const taken = seen.at(-1);
+  assert.ok(taken?.op === 'submit' && taken.spec?.shape === 'service' && taken.spec.estimateS === 0);
+  const { flight_s: _left, ...short } = service;
+  for (const bad of [{ ...service, shape: 'demon' }, { ...service, chicks: 0 }, { ...service, flight_s: -1 }, short]) {
+    assert.equal((await ask('POST', '/v2/runs', encode(bad))).status, 400);
+  }
+});
+
 test('workers: a report is answered with the token, a malformed one refused', async () => {
   const report = {
     perch: 'i-1',
@@ -183,6 +194,13 @@
     ).status,
     2,
   );
+  const limits = '[deployment.state.next]\nvalue_kb = 2.0\n\n[deployment.cloud]';
+  const withNext = (text: string): string => settings((t) => t.replace('[deployment.cloud]', text));
+  assert.equal(cli('check', '--config', withNext(limits)).status, 0);
+  assert.equal(cli('check', '--config', withNext(limits.replace('value_kb = 2.0', 'other = "x"'))).status, 0);
+  const wrong = cli('--config', withNext(limits.replace('2.0', '-2.0')));
+  assert.equal(wrong.status, 2);
+  assert.match(wrong.err, /settings\.toml: deployment\.state\.next\.value_kb: /);
   assert.equal(cli('--config', '/nonexistent').status, 2);
   assert.equal(cli().status, 2);
   assert.equal(cli('--nonsense').status, 2);
