--- a/src/core/mirror.ts
+++ b/src/core/mirror.ts
@@ -1,4 +1,4 @@
-import { DRIFT } from './bounds.js';
+import { DRIFT, knowledgeMs } from './bounds.js';
 import type { Context } from './context.js';
 import type { StoredItem, StoreEvent } from './messages.js';
 import { decodeJob, JOB_PREFIX, type JobRecord } from './records.js';
@@ -29,12 +29,15 @@
   private waitingForAll: ((ok: boolean) => void)[] = [];
   private watching = false;
   private leading = false;
+  private readonly watchLeadingMs: number;
   /** What happened before this is known: when the last answered watch was sent, or when one that brought nothing ended. */
   freshAt: Steady;
   /** Told of each record that is newer than what was known. */
   onRecord: (item: MirroredJob) => void = () => {};
 
   constructor(private readonly ctx: Context) {
+    // Where `cancel_s` leaves little, the view has to be the fresher (tight-cancel.txt).
+    this.watchLeadingMs = Math.min(WATCH_LEADING_MS, knowledgeMs(ctx.settings) / 4);
     this.freshAt = ctx.now.steady;
   }
 
@@ -108,7 +111,7 @@
   private watch(): void {
     if (this.watching || this.watchFrom === null) return;
     this.watching = true;
-    const waitMs = this.leading ? WATCH_LEADING_MS : WATCH_MS;
+    const waitMs = this.leading ? this.watchLeadingMs : WATCH_MS;
     let sentAt = this.ctx.now.steady;
     this.ctx.store(
       { op: 'watch', prefix: JOB_PREFIX, after: this.watchFrom, waitMs },
