--- a/src/core/autoscaler.ts
+++ b/src/core/autoscaler.ts
@@ -193,7 +193,7 @@
       else if (hearing && silent > settings.workers.leaseMs + 15_000) this.remove(m, 'silent');
       else if (hearing && m.deafSince !== null && now - m.deafSince > settings.workers.leaseMs + 15_000)
         this.remove(m, 'does not heed commands');
-      else if (m.placements.size === 0 && m.exited.length === 0 && this.idle(m)) {
+      else if (m.placements.size === 0 && nothingKept(m) && this.idle(m)) {
         // What the guarantees don't need.
         if (spare.gpus >= -m.type.gpus + 0.5 || spare.cpus >= -m.type.cpus + 0.5) continue;
         spare.gpus += m.type.gpus;
@@ -488,6 +488,9 @@
   return false;
 };
 
+/** No result is there that isn't on record; ends kept only against a late start go with the machine. */
+const nothingKept = (m: Machine): boolean => m.exited.every((e) => m.lateStarts.has(startKey(e)));
+
 /** Nothing is there but starts of replicas no longer wanted, whose direct calls were never answered. */
 function holdsOnlyLateStarts(m: Machine): boolean {
   if (m.lateStarts.size === 0 || m.directInFlight) return false;
