A replica that has waited 20 s takes cores kept for GPU work too

Cause: a service that had begun once kept its preferences for ever: after losing its machine it waited beside GPU machines with room. Ruled out: renting, which had no capacity. Scenario service-takes-gpu-cores failed before.

--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -61,6 +61,8 @@
   /** Of a service: replicas that ended soon after their start, one after the other. */
   quickEnds = 0;
   quickEndAt = 0 as Steady;
+  /** Of a service: since when a replica has waited for a place. */
+  replicaWaits: Steady | null = null;
   /** Since when nothing of it has been on any machine, or it is known here. */
   quietSince = 0 as Steady;
   private scan = 0;
--- a/src/core/scheduler/services.ts
+++ b/src/core/scheduler/services.ts
@@ -2,7 +2,7 @@
 import type { Machine } from '../fleet.js';
 import type { Job, Placement } from '../jobs.js';
 import { steadyPlus, type ZoneName } from '../types.js';
-import { begin, couldHost, type GpuWork, gpuWorkOf, looseRoom, mayHost, overdueS } from './hosting.js';
+import { begin, couldHost, type GpuWork, gpuWorkOf, looseRoom, mayHost } from './hosting.js';
 import { optionOn } from './preempt.js';
 
 /** Seconds of start time that a replica would rather lose than share its machine with another of its service ... */
@@ -11,6 +11,8 @@
 const GPU_S = 12;
 /** ... and than take a spot machine for each hundredth of a chance to be lost with it within a minute. */
 const SPOT_S = 4;
+/** A replica is choosy for so long; then it also takes cores that are kept for GPU work. */
+const CHOOSY_MS = 20_000;
 /** Room that is made or found for a replica is kept for it so long. */
 const RESERVED_MS = 6000;
 /** So many replicas of one service are on their way to other machines at once. */
@@ -40,6 +42,7 @@
   let stoppedFor = 0;
   for (const job of waitingServices(cluster, unaccounted)) {
     const room = zoneRoom(job);
+    job.replicaWaits ??= cluster.ctx.now.steady;
     for (const index of job.waitingTasks(job.spec.tasks)) {
       const m = cluster.quotas.room(job.spec) >= 1 ? bestFor(cluster, job, room) : null;
       if (!m) break;
@@ -49,6 +52,7 @@
       take(room, m.zone, job);
       placed += 1;
     }
+    if (job.waiting === 0) job.replicaWaits = null;
     while (job.waiting > 0 && stoppedFor < STOPPED_FOR_MOST && makeRoom(cluster, job, room)) stoppedFor += 1;
   }
   return placed;
@@ -76,8 +80,8 @@
   const { spec } = job;
   const now = cluster.ctx.now.steady;
   const lost = 1 - Math.exp(-60 * cluster.hazard.perS);
-  // One that has waited for long takes what there is.
-  const choosy = overdueS(cluster, job) <= 0;
+  // One that has waited for long takes what there is (service-takes-gpu-cores.txt).
+  const choosy = job.replicaWaits === null || now - job.replicaWaits < CHOOSY_MS;
   let gpuWork: GpuWork | null = null;
   const isLoose = (m: Machine): boolean => {
     gpuWork ??= gpuWorkOf(cluster);
