--- a/test/sim/state_service.ts
+++ b/test/sim/state_service.ts
@@ -41,9 +41,9 @@
   writes = 0;
   /** The longest value that was written, as text. */
   longest = 0;
-  /** Called before an operation is carried out and once more before its answer leaves. */
   /** Called after a transaction that changed these keys. */
   onChanged: (keys: readonly string[]) => void = () => {};
+  /** Called before an operation is carried out and once more before its answer leaves. */
   onOp: (from: string, op: StoreOp, carriedOut: boolean) => void = () => {};
 
   constructor(
