--- a/src/core/leadership/cluster.ts
+++ b/src/core/leadership/cluster.ts
@@ -1,6 +1,7 @@
 import type { Context } from '../context.js';
 import { Estimates } from '../jobs/estimates.js';
 import { Job, type Placement, type PlacementPhase } from '../jobs/job.js';
+import { BootTimes } from '../machines/boot_times.js';
 import type { MachineTypes } from '../machines/catalog.js';
 import { type Machine, taskKey } from '../machines/machine.js';
 import { SpotInterruptionRate } from '../machines/spot_interruptions.js';
@@ -33,6 +34,7 @@
   readonly machinesWithStarts = new Set<Machine>();
   readonly quotas: Quotas;
   readonly estimates = new Estimates();
+  readonly bootTimes = new BootTimes();
   readonly spotInterruptions = new SpotInterruptionRate();
   /** The largest tasks seen that use an image, and its size. */
   readonly largestImageUsers = new Map<ImageName, Resources>();
@@ -235,6 +237,17 @@
     return this.machines.get(machine.id) === machine;
   }
 
+  /** Whether a machine on its way will not be up when it should be. */
+  isOverdue({ phase, type, zone, rentedAt }: Machine): boolean {
+    const now = this.ctx.now.steady;
+    return phase === 'booting' && this.bootTimes.isOverdue(type, zone, (now - rentedAt) / 1000, now);
+  }
+
+  /** Whether the machine is on its way, and may be counted on. */
+  isExpected(machine: Machine): boolean {
+    return machine.isComing() && !this.isOverdue(machine);
+  }
+
   /** The machine is proven gone, with everything on it. */
   removeMachine(machine: Machine): void {
     this.releaseAll(machine);
--- a/src/core/leadership/leader.ts
+++ b/src/core/leadership/leader.ts
@@ -206,7 +206,10 @@
     }
     const now = this.ctx.now.steady;
     const { id, zone, spot, addr } = record;
-    const machine = new Machine({ id, type, zone, spot, addr, reconciled: false, phase: 'up', now });
+    // Rented by an earlier leader and not known to be up: it may still boot (boots-leader-change.txt), or have come up just
+    // now, so that it counts as unreconciled all the same.
+    const phase = addr === '' ? 'booting' : 'up';
+    const machine = new Machine({ id, type, zone, spot, addr, reconciled: false, phase, now });
     machine.images.restore(record.images, record.fetchSpeed, this.cluster.imageGb, now);
     this.cluster.machines.set(id, machine);
     this.registry.restore(machine, key);
--- a/src/core/machines/guarantees.ts
+++ b/src/core/machines/guarantees.ts
@@ -40,7 +40,8 @@
       missing.gpus -= type.gpus * count;
     };
     for (const machine of this.cluster.machines.values()) {
-      if (machine.draining === null && !machine.deletionInFlight) subtract(machine.type, 1);
+      const isUsable = machine.draining === null && !machine.deletionInFlight;
+      if (isUsable && !this.cluster.isOverdue(machine)) subtract(machine.type, 1);
     }
     for (const { kind, count } of this.rentals.underWay()) subtract(kind.type, count);
     return {
--- a/src/core/machines/health_checks.ts
+++ b/src/core/machines/health_checks.ts
@@ -32,6 +32,7 @@
     this.breakIncompleteGangs();
     this.noteTasksThatDoWell(now);
     this.drainFaultyMachines();
+    this.noteOverdueMachines(now);
     this.drainOneSlowMachine(now);
     this.moveWorkOffLeavingMachines(now);
   }
@@ -40,8 +41,9 @@
     const { settings } = this.cluster.ctx;
     const leaseExpiryMs = workerLeaseExpiryMs(settings);
     for (const machine of this.cluster.machines.values()) {
-      if (machine.phase === 'booting') continue;
-      if (machine.isSilent(now, settings.workers.reportMs)) this.cluster.releasePlanned(machine);
+      if (machine.phase === 'booting' && machine.reconciled) continue;
+      if (machine.phase === 'up' && machine.isSilent(now, settings.workers.reportMs))
+        this.cluster.releasePlanned(machine);
       const mayHoldTasks = !machine.reconciled || machine.placements.size > 0;
       if (mayHoldTasks && now - machine.leaseRenewedAt > leaseExpiryMs) this.onLeaseExpired(machine);
     }
@@ -71,6 +73,14 @@
     }
   }
 
+  private noteOverdueMachines(now: Steady): void {
+    for (const machine of this.cluster.machines.values()) {
+      if (machine.phase !== 'booting' || machine.overdueNoted || !this.cluster.isOverdue(machine)) continue;
+      machine.overdueNoted = true;
+      this.cluster.bootTimes.noteOverdue(machine.type, machine.zone, now);
+    }
+  }
+
   private drainFaultyMachines(): void {
     const { ctx, machines } = this.cluster;
     for (const machine of machines.values()) {
--- a/src/core/machines/machine.ts
+++ b/src/core/machines/machine.ts
@@ -99,6 +99,10 @@
   nextProbeAt = 0 as Steady;
 
   rentedAt: Steady;
+  /** Rented by this leader: when it comes up tells how long boots take. */
+  rentedHere = false;
+  /** It was noted that it did not come up in time. */
+  overdueNoted = false;
   idleSince: Steady;
   /** When the cloud takes it away, if it has given notice. */
   interruptionAt: Steady | null = null;
@@ -182,11 +186,21 @@
     );
   }
 
+  /** Whether it was rented by an earlier leader and has yet to report to this one. */
+  get isInheritedUnheard(): boolean {
+    return this.phase === 'booting' && this.registered && !this.rentedHere;
+  }
+
   /** Whether it is on its way and will take work. */
   isComing(): boolean {
     return this.phase === 'booting' && !this.deletionInFlight && this.draining === null;
   }
 
+  /** Seconds since it was rented. */
+  ageS(now: Steady): number {
+    return (now - this.rentedAt) / 1000;
+  }
+
   hasRoomFor(task: Resources): boolean {
     return (
       this.usedCpus + task.cpus <= this.type.cpus + AMOUNT_TOLERANCE &&
--- a/src/core/machines/machine_list.ts
+++ b/src/core/machines/machine_list.ts
@@ -57,9 +57,18 @@
     if (listed.addr && !machine.addr) machine.addr = listed.addr;
     const rentedAt = (this.cluster.ctx.now.steady - listed.ageS * 1000) as Steady;
     if (rentedAt < machine.rentedAt) machine.rentedAt = rentedAt;
+    if (listed.phase === 'running' && machine.isInheritedUnheard) this.onListedRunning(machine);
     if (listed.phase === 'failed' && !machine.deletionInFlight) this.onStopped(machine);
   }
 
+  /** An earlier leader's machine that is up and hasn't been heard by this one: from now on its silence counts. */
+  private onListedRunning(machine: Machine): void {
+    const now = this.cluster.ctx.now.steady;
+    machine.phase = 'up';
+    machine.lastSeenAt = now;
+    machine.lastReportAt = now;
+  }
+
   /** Rented by an earlier leader, or by a request carried out late: taken into use like any other. */
   private addUnknown({ id, type: typeName, zone, spot, addr, phase }: ListedMachine): Machine | null {
     const type = this.cluster.types.get(typeName);
--- a/src/core/machines/machine_returns.ts
+++ b/src/core/machines/machine_returns.ts
@@ -87,8 +87,10 @@
   }
 
   private neverBoots(machine: Machine, now: Steady): boolean {
-    const { boot_give_up } = this.cluster.ctx.tuning.machines;
-    return (now - machine.rentedAt) / 1000 > Math.max(MIN_BOOT_S, machine.type.bootS * boot_give_up);
+    const { type, zone } = machine;
+    const { bootTimes, ctx } = this.cluster;
+    const factor = ctx.tuning.machines.boot_give_up * bootTimes.patience(type, zone, machine.rentedAt, now);
+    return machine.ageS(now) > Math.max(MIN_BOOT_S, type.bootS * factor);
   }
 
   /** Where the machine stands idle and no guarantee needs it; takes it off what is to spare. */
@@ -108,7 +110,7 @@
     const now = this.cluster.ctx.now.steady;
     // Made empty on purpose, for a job that is on its way here.
     if (machine.reservedFor(now) !== null) return false;
-    if ((now - machine.rentedAt) / 1000 < MIN_CHARGED_S) return false;
+    if (machine.ageS(now) < MIN_CHARGED_S) return false;
     const idleSince = Math.max(machine.idleSince, machine.firstReportAt ?? machine.idleSince);
     return (now - idleSince) / 1000 >= this.cluster.ctx.tuning.machines.idle_return_s;
   }
@@ -120,10 +122,15 @@
     machine.deletionRequested = true;
     if (reason === 'silent' || reason === 'failed') this.onLost(machine);
     machine.draining ??= reason;
+    if (reason === 'never came up') this.noteGivenUp(machine);
     this.cluster.ctx.log('info', 'returning machine', { machine: machine.id, type: machine.typeName, why: reason });
     this.queue.push(machine);
   }
 
+  private noteGivenUp({ type, zone, rentedAt }: Machine): void {
+    this.cluster.bootTimes.noteGivenUp(type, zone, rentedAt, this.cluster.ctx.now.steady);
+  }
+
   /** Returns what was marked, as many to a request as the cloud takes. */
   send(): void {
     while (this.queue.length > 0 && this.inFlight < MAX_CONCURRENT_DELETES) {
--- a/src/core/machines/rental_need.ts
+++ b/src/core/machines/rental_need.ts
@@ -1,7 +1,8 @@
-import { sharesIn } from '../amounts.js';
+import { AMOUNT_TOLERANCE, sharesIn } from '../amounts.js';
 import type { Cluster } from '../leadership/cluster.js';
 import type { PlanJob } from '../scheduler/plan_types.js';
 import type { RoundResult } from '../scheduler/round.js';
+import { type GpuDemand, gpuDemand, spareOfType } from '../scheduler/spare_room.js';
 import type { MachineType, TypeName, ZoneName } from '../types.js';
 import { fetchTimeS } from './image_cache.js';
 import { kindKey, type MachineKind } from './machine_kind.js';
@@ -11,6 +12,8 @@
 const SPOT_PRICE_FACTOR = 1.1;
 /** Of equal prices the zone with fewer machines of the type is taken. */
 const CROWDED_ZONE_FACTOR = 0.01;
+/** A type and zone of which no machine came up lately counts as so much dearer. */
+const UNRELIABLE_FACTOR = 1;
 /** What a machine takes of tasks that ask for nothing. */
 const UNBOUNDED_TASKS = 1000;
 
@@ -33,6 +36,7 @@
 export class RentalNeed {
   private readonly needs = new Map<string, Need>();
   private readonly machineCounts: ReadonlyMap<string, number>;
+  private readonly gpuDemand: GpuDemand;
 
   constructor(
     private readonly cluster: Cluster,
@@ -40,6 +44,7 @@
     private readonly round: RoundResult,
   ) {
     this.machineCounts = this.countMachines();
+    this.gpuDemand = gpuDemand(cluster);
   }
 
   /** Rents what is needed and not under way already. */
@@ -86,8 +91,9 @@
   private unusedComing(): Map<TypeName, number> {
     const used = new Set(this.round.capacity.starts.map((start) => start.machine));
     const unused = new Map<TypeName, number>();
-    this.round.machines.forEach(({ phase, typeName }, slot) => {
-      if (phase === 'booting' && !used.has(slot)) unused.set(typeName, (unused.get(typeName) ?? 0) + 1);
+    this.round.machines.forEach((machine, slot) => {
+      if (!this.cluster.isExpected(machine) || used.has(slot)) return;
+      unused.set(machine.typeName, (unused.get(machine.typeName) ?? 0) + 1);
     });
     return unused;
   }
@@ -121,10 +127,15 @@
 
   /** Seconds until a machine rented now could start the job. */
   private soonestOnNewMachineS(job: PlanJob): number {
+    const { bootTimes, ctx, types } = this.cluster;
     let soonest = Number.POSITIVE_INFINITY;
-    for (const type of this.cluster.types.values()) {
-      if (!canRun(job, type)) continue;
-      soonest = Math.min(soonest, type.bootS + fetchTimeS(job.imageGb, type.fetchGbPerS));
+    for (const type of types.values()) {
+      if (!this.canRun(job, type)) continue;
+      const fetchS = fetchTimeS(job.imageGb, type.fetchGbPerS);
+      for (const zone of type.zones) {
+        if (job.boundTo !== null && job.boundTo !== zone) continue;
+        soonest = Math.min(soonest, bootTimes.expectedS(type, zone, ctx.now.steady) + fetchS);
+      }
     }
     return soonest;
   }
@@ -140,6 +151,7 @@
 
   /** The kind that takes the job's tasks at the lowest price a task, among those not lately refused. */
   private cheapestKind(job: PlanJob, tasks: number): MachineKind | null {
+    const { bootTimes, ctx } = this.cluster;
     let cheapest: MachineKind | null = null;
     let lowestCost = Number.POSITIVE_INFINITY;
     for (const kind of this.possibleKinds(job)) {
@@ -147,7 +159,9 @@
       const { type, zone, spot } = kind;
       const price = spot ? type.spotPrice * SPOT_PRICE_FACTOR : type.price;
       const crowding = 1 + CROWDED_ZONE_FACTOR * (this.machineCounts.get(countKey(type.name, zone)) ?? 0);
-      const cost = (price / Math.min(tasks, tasksPerMachine(job, type))) * crowding;
+      // Where machines lately came up late or never, others that fit are tried first.
+      const unreliable = 1 + UNRELIABLE_FACTOR * bootTimes.overdueShare(type, zone, ctx.now.steady);
+      const cost = (price / Math.min(tasks, tasksPerMachine(job, type))) * crowding * unreliable;
       if (cost >= lowestCost) continue;
       lowestCost = cost;
       cheapest = kind;
@@ -155,8 +169,19 @@
     return cheapest;
   }
 
+  /**
+   * Whether a machine of the type would take the job. Work without GPUs is held to what GPU work leaves of a machine: one
+   * rented for more would stand idle, be returned, and be rented again.
+   */
+  private canRun(job: PlanJob, type: MachineType): boolean {
+    if (tasksPerMachine(job, type) < 1 || (job.types !== null && !job.types.includes(type.name))) return false;
+    if (job.gpus > 0 || type.gpus === 0 || job.penaltyFactor === 0) return true;
+    const spare = spareOfType(type, this.gpuDemand);
+    return spare.cpus + AMOUNT_TOLERANCE >= job.cpus && spare.memGb + AMOUNT_TOLERANCE >= job.memGb;
+  }
+
   private *possibleKinds(job: PlanJob): Iterable<MachineKind> {
-    const types = [...this.cluster.types.values()].filter((type) => canRun(job, type));
+    const types = [...this.cluster.types.values()].filter((type) => this.canRun(job, type));
     // Machines with GPUs are rented for work without only where nothing else runs it.
     const avoidGpus = job.gpus === 0 && types.some((type) => type.gpus === 0);
     const spotChoices = job.spotOk ? [true, false] : [false];
@@ -183,10 +208,6 @@
 
 const countKey = (type: TypeName, zone: ZoneName): string => `${type}|${zone}`;
 
-function canRun(job: PlanJob, type: MachineType): boolean {
-  return tasksPerMachine(job, type) >= 1 && (job.types === null || job.types.includes(type.name));
-}
-
 /** How many of the job's tasks one machine of the type takes at once. */
 function tasksPerMachine(job: PlanJob, type: MachineType): number {
   const { cpus, gpus, memGb } = type;
--- a/src/core/machines/rentals.ts
+++ b/src/core/machines/rentals.ts
@@ -88,6 +88,7 @@
     for (const id of ids) {
       if (this.cluster.machines.has(id) || this.cluster.removedMachines.has(id)) continue;
       const machine = new Machine({ id, type, zone, spot, addr: '', reconciled: true, phase: 'booting', now: since });
+      machine.rentedHere = true;
       this.cluster.machines.set(id, machine);
       this.register(machine);
     }
--- a/src/core/scheduler/plan_input.ts
+++ b/src/core/scheduler/plan_input.ts
@@ -13,9 +13,6 @@
 
 /** A task that takes more of a machine than this needs a whole one. */
 const WHOLE_MACHINE_SHARE = 0.6;
-/** A machine that boots is expected after its usual time and a bit, or soon if that is over. */
-const BOOT_TIME_FACTOR = 1.05;
-const MIN_BOOT_SHARE = 0.15;
 /** Ends closer than this are one step of a machine's free room. */
 const SAME_END_S = 0.01;
 
@@ -157,7 +154,7 @@
 /** What is free on a machine now, and from each expected end of its tasks on. */
 function freeRoom(cluster: Cluster, machine: Machine): Pick<PlanMachine, 'times' | 'cpus' | 'gpus' | 'memGb'> {
   const now = cluster.ctx.now.steady;
-  const times = [machine.phase === 'booting' ? bootingS(machine, now) : 0];
+  const times = [machine.phase === 'booting' ? bootingS(cluster, machine, now) : 0];
   const cpus = [machine.type.cpus - machine.usedCpus];
   const gpus = [machine.type.gpus - machine.usedGpus];
   const memGb = [machine.type.memGb - machine.usedMemGb];
@@ -196,9 +193,8 @@
 }
 
 /** When a machine that was rented but hasn't reported is expected, in seconds from now. */
-function bootingS({ type, rentedAt }: Machine, now: Steady): number {
-  const ageS = (now - rentedAt) / 1000;
-  return Math.max(type.bootS * MIN_BOOT_SHARE, type.bootS * BOOT_TIME_FACTOR - ageS);
+function bootingS({ bootTimes }: Cluster, machine: Machine, now: Steady): number {
+  return bootTimes.remainingS(machine.type, machine.zone, machine.ageS(now), now);
 }
 
 function largestCachedShare(cluster: Cluster, machine: Machine): number {
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -136,7 +136,7 @@
   const waiting = waitingServices(cluster, unreconciled);
   if (waiting.length === 0) return plan;
   const unplaced = new Map(plan.unplaced);
-  const coming = [...cluster.machines.values()].filter((machine) => machine.isComing()).map(emptyRoom);
+  const coming = [...cluster.machines.values()].filter((machine) => cluster.isExpected(machine)).map(emptyRoom);
   for (const job of waiting) {
     const tasks = withoutPlaceOn(coming, job, Math.min(job.pendingCount, cluster.quotas.room(job.spec)));
     if (tasks <= 0) continue;
--- a/src/core/scheduler/spare_room.ts
+++ b/src/core/scheduler/spare_room.ts
@@ -45,6 +45,12 @@
   return { cpus, memGb };
 }
 
+/** What an empty machine of the type leaves beside all that GPU work could use. */
+export function spareOfType(type: MachineType, demand: GpuDemand): BesideGpus {
+  const reserved = demand.get(type.name) ?? NOTHING;
+  return { cpus: type.cpus - reserved.cpus, memGb: type.memGb - reserved.memGb };
+}
+
 /**
  * On machines with GPUs, the cores and memory that GPU work has no use for even when it has all the GPUs. Work without
  * GPUs that took more would keep GPUs idle: a gang that needs whole machines would wait for the last small task on each.
@@ -52,9 +58,7 @@
 export function spareRoom(machine: Machine, demand: GpuDemand): BesideGpus {
   const { type } = machine;
   if (type.gpus === 0) return UNLIMITED;
-  const reserved = demand.get(type.name) ?? NOTHING;
-  let cpus = type.cpus - reserved.cpus;
-  let memGb = type.memGb - reserved.memGb;
+  let { cpus, memGb } = spareOfType(type, demand);
   for (const { job } of machine.placements.values()) {
     if (job.spec.gpus > 0) continue;
     cpus -= job.spec.cpus;
--- a/src/core/workers/report_handler.ts
+++ b/src/core/workers/report_handler.ts
@@ -159,12 +159,16 @@
 
   private onUp(machine: Machine): void {
     machine.phase = 'up';
+    const { steady } = this.ctx.now;
+    if (machine.rentedHere) {
+      this.cluster.bootTimes.noteUp(machine.type, machine.zone, machine.ageS(steady), steady);
+    }
     this.ctx.log('info', 'machine is up', {
       machine: machine.id,
       type: machine.typeName,
       zone: machine.zone,
       spot: machine.spot,
-      afterS: Math.round((this.ctx.now.steady - machine.rentedAt) / 1000),
+      afterS: Math.round(machine.ageS(steady)),
     });
   }
 
--- a/test/sim/cloud.ts
+++ b/test/sim/cloud.ts
@@ -11,6 +11,15 @@
   phase: 'booting' | 'running' | 'failed';
 }
 
+/** Machines rented before `until` take so many times as long to come up, and that share of them never does. */
+export interface BootTrouble {
+  readonly factor: number;
+  readonly neverShare: number;
+  readonly until: number;
+  /** Null: in all zones. */
+  readonly zone: string | null;
+}
+
 export interface CloudEvents {
   boot(id: MachineId, type: MachineType, zone: ZoneName, spot: boolean): void;
   gone(id: MachineId): void;
@@ -24,6 +33,7 @@
   private count = 0;
   down = false;
   neverBoot = 0;
+  private bootTroubles: BootTrouble[] = [];
   rentals = 0;
 
   constructor(
@@ -92,6 +102,20 @@
     return { ok: true, value: { machines: list.filter(({ id }) => after === null || id > after), more: false } };
   }
 
+  addBootTrouble(trouble: BootTrouble): void {
+    this.bootTroubles.push(trouble);
+  }
+
+  /** How long a machine takes to come up; null: for ever. */
+  private bootMs(type: MachineType, zone: ZoneName): number | null {
+    const usual = type.bootS * 1000 * this.clock.between(0.6, 1.5);
+    const trouble = this.bootTroubles.find(
+      (each) => this.clock.now < each.until && (each.zone === null || each.zone === zone),
+    );
+    if (!trouble) return usual;
+    return this.clock.between(0, 1) < trouble.neverShare ? null : usual * trouble.factor;
+  }
+
   private rent(op: Extract<CloudOp, { op: 'rent' }>): Result<CloudValue> {
     const before = this.answered.get(op.request);
     if (before) return { ok: true, value: { rented: before } };
@@ -102,7 +126,7 @@
     for (let i = 0; i < Math.min(free, op.count); i++) {
       const never = this.neverBoot > 0;
       if (never) this.neverBoot -= 1;
-      ids.push(this.add(type, op.zone, op.spot, never ? null : type.bootS * 1000 * this.clock.between(0.6, 1.5)));
+      ids.push(this.add(type, op.zone, op.spot, never ? null : this.bootMs(type, op.zone)));
       this.rentals += 1;
     }
     this.answered.set(op.request, ids);
--- a/test/sim/scenario_events.ts
+++ b/test/sim/scenario_events.ts
@@ -305,6 +305,11 @@
       world.cloud.down = false;
     });
   },
+  /** boot-trouble FACTOR SHARE S [ZONE]: machines rented meanwhile boot FACTOR times as long, or, that share, never */
+  'boot-trouble'(world, [factor, share, seconds, zone]) {
+    const until = world.clock.now + lasts(world, seconds);
+    world.cloud.addBootTrouble({ factor: Number(factor), neverShare: Number(share), until, zone: zone ?? null });
+  },
   'never-boot'(world, [count]) {
     world.cloud.neverBoot = Number(count);
   },
