Small work doesn't keep GPU machines that no GPU work uses

Ruled out: fetches, lost spot machines. A job that fits types without GPUs now starts on a GPU machine only where GPU work is there or waits for its kind.

--- a/src/core/machines/machine.ts
+++ b/src/core/machines/machine.ts
@@ -209,6 +209,13 @@
     );
   }
 
+  /** Whether work that asks for GPUs is there, or the machine is kept for some. */
+  hasGpuWork(now: Steady): boolean {
+    if (this.reservedFor(now) !== null) return true;
+    for (const { job } of this.placements.values()) if (job.spec.gpus > 0) return true;
+    return false;
+  }
+
   hasReplica(): boolean {
     for (const { job } of this.placements.values()) if (job.spec.shape === 'service') return true;
     return false;
--- a/src/core/scheduler/plan_input.ts
+++ b/src/core/scheduler/plan_input.ts
@@ -91,10 +91,11 @@
       image: spec.image,
       imageGb: spec.imageGb,
       types: spec.types,
+      fitsTypesWithoutGpus: this.fitsTypesWithoutGpus(job),
       spotOk: spec.spotOk,
       spotDelayS: spotDelayS(spotInterruptions.perS, durationS, spec.checkpointS),
       sameZone: spec.sameZone,
-      zoneRoom: zoneRoom(job, zones),
+      zoneRoom: zoneRoom(job, ctx.settings.zones),
       zones,
       boundTo: spec.zone ?? (isBound ? (zones[0] as ZoneName) : null),
       weight: userWeight(spec.rank, ctx.tuning.scheduler.priority_base),
@@ -104,6 +105,14 @@
     };
   }
 
+  private fitsTypesWithoutGpus(job: Job): boolean {
+    if (job.spec.gpus > 0) return false;
+    for (const type of this.cluster.types.values()) {
+      if (type.gpus === 0 && type.zones.some((zone) => couldHost(job, type, zone))) return true;
+    }
+    return false;
+  }
+
   private slotsToAvoid(job: Job): Set<number> | null {
     const slots = new Set<number>();
     for (const reservation of this.reservations) if (reservation.job !== job.id) slots.add(reservation.slot);
@@ -125,7 +134,27 @@
 function planMachines(cluster: Cluster, machines: readonly Machine[], ranked: readonly RankedJob[]): PlanMachine[] {
   const demand = gpuDemand(cluster);
   const reserved = typesReservedForGangs(cluster, ranked);
-  return machines.map((machine, slot) => planMachine(cluster, machine, slot, demand, reserved));
+  const awaited = kindsAwaitedByGpuWork(cluster, ranked);
+  return machines.map((machine, slot) => ({
+    ...planMachine(cluster, machine, slot, demand, reserved),
+    servesGpuWork: awaited.has(kindKey(machine)) || machine.hasGpuWork(cluster.ctx.now.steady),
+  }));
+}
+
+/** The kinds of machines with GPUs that waiting GPU work could take. */
+function kindsAwaitedByGpuWork(cluster: Cluster, waiting: readonly RankedJob[]): Set<string> {
+  const kinds = new Set<string>();
+  const gpuJobs = waiting.filter(({ job }) => job.spec.gpus > 0 && !job.isFaulty);
+  for (const type of cluster.types.values()) {
+    if (type.gpus === 0) continue;
+    for (const zone of type.zones) {
+      for (const spot of [false, true]) {
+        const isAwaited = gpuJobs.some(({ job }) => (job.spec.spotOk || !spot) && couldHost(job, type, zone));
+        if (isAwaited) kinds.add(kindKey({ type, zone, spot }));
+      }
+    }
+  }
+  return kinds;
 }
 
 function planMachine(
@@ -134,7 +163,7 @@
   slot: number,
   demand: GpuDemand,
   reservedTypes: ReadonlySet<TypeName>,
-): PlanMachine {
+): Omit<PlanMachine, 'servesGpuWork'> {
   const now = cluster.ctx.now.steady;
   const spare = spareRoom(machine, demand);
   return {
--- a/src/core/scheduler/plan_machine.ts
+++ b/src/core/scheduler/plan_machine.ts
@@ -23,6 +23,7 @@
     memGb: machine.memGb.slice(),
     spareCpus: machine.spareCpus,
     spareMemGb: machine.spareMemGb,
+    servesGpuWork: machine.servesGpuWork,
     fetchS: machine.fetchS,
     reservedForGangs: machine.reservedForGangs,
     largestCachedShare: machine.largestCachedShare,
@@ -67,9 +68,13 @@
 const isHeldToSpare = (machine: PlanMachine, job: PlanJob): boolean =>
   job.gpus === 0 && machine.type.gpus > 0 && job.penaltyFactor > 0;
 
-/** Whether a job that is held to a machine's spare room finds any. */
+/**
+ * Whether a job that is held to a machine's spare room finds any. One that fits cheaper types finds none on a machine with
+ * GPUs that no GPU work uses: it would keep the machine from being returned.
+ */
 export function lacksSpareRoom(machine: PlanMachine, job: PlanJob): boolean {
   if (!isHeldToSpare(machine, job)) return false;
+  if (job.fitsTypesWithoutGpus && !machine.servesGpuWork) return true;
   return machine.spareCpus + TOLERANCE < job.cpus || machine.spareMemGb + TOLERANCE < job.memGb;
 }
 
--- a/src/core/scheduler/plan_types.ts
+++ b/src/core/scheduler/plan_types.ts
@@ -19,6 +19,8 @@
   /** What jobs without GPUs may still take of a machine with GPUs: only what GPU work could not use anyway. */
   spareCpus: number;
   spareMemGb: number;
+  /** A machine with GPUs that GPU work uses or waits for; others are about to be returned. */
+  readonly servesGpuWork: boolean;
   /** Seconds until an image would be there. */
   fetchS(image: ImageName, gb: number): number;
   /** A machine on demand, of a type that gangs wait for which need whole ones and may not use spot machines. */
@@ -36,6 +38,8 @@
   readonly image: ImageName;
   readonly imageGb: number;
   readonly types: readonly TypeName[] | null;
+  /** It asks for no GPUs, and machines without any could take it. */
+  readonly fitsTypesWithoutGpus: boolean;
   readonly spotOk: boolean;
   /** What a start on a spot machine is expected to cost through losses, in seconds. */
   readonly spotDelayS: number;
