What only a leader may say is checked against the clock when it leaves; machines are rented in every zone a spread job lacks

A process may be paused between making an output and sending it. Commands, lease renewals, rentals and returns now carry the end of the leader's validity, answers about open jobs a quarter of a second; what is late is replaced by a refusal. Timers have a step of their own, so that answers don't wait for a planning round.

--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -65,6 +65,8 @@
 const CLOUD_QUEUE_MS = 5000;
 /** Pause after a call that the state service refused. */
 const REFUSED_PAUSE_MS = 100;
+/** What is said of a job that isn't over leaves within this time, or not at all. */
+const OPEN_ANSWER_MS = 250;
 /** With less of the burst left than this, writes that can wait should. */
 const SPARE_WRITES_LEVEL = 0.5;
 
@@ -79,6 +81,8 @@
 export class Context {
   now: Now;
   readonly timers = new Timers<TimerName>();
+  /** Until when no other node can lead, if this one does (election.ts). */
+  leadershipValidUntil = 0 as Steady;
   /** Since when the state service has only refused this node or not answered; null: it answers. */
   storeFailingSince: Steady | null = null;
 
@@ -180,20 +184,33 @@
     this.cloudQueue.add(priority, {
       writes: 0,
       expiresAt: this.after(CLOUD_QUEUE_MS),
-      send: () => {
-        const call = this.nextCall();
-        this.cloudCalls.set(call, onResult);
-        this.outputs.push({ kind: 'cloud', call, op });
-      },
+      send: () => this.sendToCloud(op, onResult),
       giveUp: () => onResult(REFUSED),
     });
   }
 
+  /** What changes anything there goes out only while this node leads: the cloud has no token that would refuse it later. */
+  private sendToCloud(op: CloudOp, onResult: OnResult<CloudValue>): void {
+    const changes = op.op === 'rent' || op.op === 'delete';
+    if (changes && this.now.steady >= this.leadershipValidUntil) {
+      onResult(REFUSED);
+      return;
+    }
+    const call = this.nextCall();
+    this.cloudCalls.set(call, onResult);
+    this.outputs.push(changes ? { kind: 'cloud', call, op, ...this.whileLeading() } : { kind: 'cloud', call, op });
+  }
+
+  /** For outputs that only the leader may make. */
+  private whileLeading(): { notAfter: Steady } {
+    return { notAfter: this.leadershipValidUntil };
+  }
+
   /** A direct call to a worker: it is sent at once. */
   worker(op: WorkerOp, onResult: OnResult<WorkerValue>): void {
     const call = this.nextCall();
     this.workerCalls.set(call, onResult);
-    this.outputs.push({ kind: 'worker', call, op });
+    this.outputs.push({ kind: 'worker', call, op, ...this.whileLeading() });
   }
 
   /** Direct calls without an answer so far: each holds a socket, and one to a silent machine for seconds. */
@@ -202,15 +219,32 @@
   }
 
   peer(to: NodeName, message: PeerMessage): void {
-    this.outputs.push({ kind: 'peer', to, message });
+    this.outputs.push({ kind: 'peer', to, message, ...this.expiryOf(message) });
+  }
+
+  private expiryOf(message: PeerMessage): { notAfter: Steady } | null {
+    if (message.kind === 'requestAnswer') return this.whileFresh(message.answer);
+    const renewsLease = message.kind === 'reportAnswer' && message.answer.status === 200;
+    return renewsLease ? this.whileLeading() : null;
+  }
+
+  /** `deadline`: when the user no longer waits for the answer. */
+  answerUser(req: RequestId, answer: UserAnswer, deadline: Steady): void {
+    const fresh = this.whileFresh(answer);
+    const notAfter = fresh && (Math.min(fresh.notAfter, deadline) as Steady);
+    this.outputs.push({ kind: 'answerUser', req, answer, ...(notAfter ? { notAfter } : {}) });
   }
 
-  answerUser(req: RequestId, answer: UserAnswer): void {
-    this.outputs.push({ kind: 'answerUser', req, answer });
+  /** What isn't final is true of the moment at which it was confirmed: another node may be cancelling the job. */
+  private whileFresh(answer: UserAnswer): { notAfter: Steady } | null {
+    const isOpen = 'jobStatus' in answer && (answer.jobStatus === 'queued' || answer.jobStatus === 'running');
+    return isOpen ? { notAfter: this.after(OPEN_ANSWER_MS) } : null;
   }
 
   answerWorker(req: RequestId, answer: WorkerAnswer): void {
-    this.outputs.push({ kind: 'answerWorker', req, answer });
+    // A node that doesn't lead hands on the leader's answer as it came.
+    const renewsLease = answer.status === 200 && this.leading;
+    this.outputs.push({ kind: 'answerWorker', req, answer, ...(renewsLease ? this.whileLeading() : {}) });
   }
 
   private nextCall(): CallId {
--- a/src/core/leadership/election.ts
+++ b/src/core/leadership/election.ts
@@ -61,7 +61,6 @@
   /** Who holds the key, as last seen. */
   private holder: LeaderRecord | null = null;
   private holderReadAt = Number.NEGATIVE_INFINITY as Steady;
-  private validUntil = 0 as Steady;
   private readonly ttlMs: number;
   private seenRevision: Revision = ABSENT;
   /** Whether a call is under way that leads to the next. */
@@ -80,7 +79,7 @@
 
   /** True while no other node can hold the lead. */
   isValid(): boolean {
-    return this.current !== null && this.ctx.now.steady < this.validUntil;
+    return this.current !== null && this.ctx.now.steady < this.ctx.leadershipValidUntil;
   }
 
   /** Whether what is known of the holder is fresh: the store answered the last time it was asked, not long ago. */
@@ -113,7 +112,7 @@
 
   private loseLeadership(): void {
     this.current = null;
-    this.validUntil = 0 as Steady;
+    this.ctx.leadershipValidUntil = 0 as Steady;
     this.ctx.timers.clear('renew');
     this.callbacks.onLost();
   }
@@ -265,7 +264,7 @@
 
   private extendValidity(sentAt: Steady): void {
     const until = steadyPlus(sentAt, this.ttlMs * (1 - CLOCK_DRIFT) - this.ctx.tuning.leadership.margin_ms);
-    if (until > this.validUntil) this.validUntil = until;
+    if (until > this.ctx.leadershipValidUntil) this.ctx.leadershipValidUntil = until;
   }
 
   private scheduleRenewal(ms: number): void {
--- a/src/core/machines/rental_need.ts
+++ b/src/core/machines/rental_need.ts
@@ -52,13 +52,25 @@
     for (const late of this.lateTasks()) this.addLate(late);
     this.addUnplanned();
     const { rent_round_up } = this.cluster.ctx.tuning.machines;
+    const underWay = this.countUnderWay();
     for (const { kind, machines, minimum } of this.needs.values()) {
       const needed = Math.max(minimum, Math.floor(machines + rent_round_up));
-      const missing = needed - this.rentals.countUnderWay(kind.type.name);
-      if (missing > 0) this.rentals.rent(kind, missing);
+      const coming = underWay.get(kind.type.name) ?? 0;
+      const covered = Math.min(needed, coming);
+      underWay.set(kind.type.name, coming - covered);
+      if (needed > covered) this.rentals.rent(kind, needed - covered);
     }
   }
 
+  /** Machines being rented before this round, by type: what it rents itself for one need doesn't meet another. */
+  private countUnderWay(): Map<TypeName, number> {
+    const counts = new Map<TypeName, number>();
+    for (const { kind, count } of this.rentals.underWay()) {
+      counts.set(kind.type.name, (counts.get(kind.type.name) ?? 0) + count);
+    }
+    return counts;
+  }
+
   private add(kind: MachineKind, machines: number, minimum: number): void {
     const key = kindKey(kind);
     const need = this.needs.get(key) ?? { kind, machines: 0, minimum: 0 };
@@ -68,9 +80,18 @@
   }
 
   private addLate({ job, tasks, unplaced }: LateTasks): void {
-    const kind = this.cheapestKind(job, tasks);
     // Work that no machine can take gets one, however little it is: rounding must not starve it.
-    if (kind) this.add(kind, this.machinesFor(job, kind.type, tasks), unplaced ? 1 : 0);
+    const minimum = unplaced ? 1 : 0;
+    const fullZones = new Set<ZoneName>();
+    for (let left = tasks; left > 0; ) {
+      const kind = this.cheapestKind(job, left, fullZones);
+      if (!kind) return;
+      // What is spread over zones needs machines in several at once.
+      const here = Math.min(left, job.zoneRoom?.get(kind.zone) ?? left);
+      this.add(kind, this.machinesFor(job, kind.type, here), minimum);
+      fullZones.add(kind.zone);
+      left -= here;
+    }
   }
 
   /** Jobs beyond those that the round planned in full: machines on their way that the plan leaves free take some. */
@@ -133,7 +154,7 @@
       if (!this.canRun(job, type)) continue;
       const fetchS = fetchTimeS(job.imageGb, type.fetchGbPerS);
       for (const zone of type.zones) {
-        if (job.boundTo !== null && job.boundTo !== zone) continue;
+        if (!isOpenZone(job, zone)) continue;
         soonest = Math.min(soonest, bootTimes.expectedS(type, zone, ctx.now.steady) + fetchS);
       }
     }
@@ -150,12 +171,12 @@
   }
 
   /** The kind that takes the job's tasks at the lowest price a task, among those not lately refused. */
-  private cheapestKind(job: PlanJob, tasks: number): MachineKind | null {
+  private cheapestKind(job: PlanJob, tasks: number, fullZones?: ReadonlySet<ZoneName>): MachineKind | null {
     const { bootTimes, ctx } = this.cluster;
     let cheapest: MachineKind | null = null;
     let lowestCost = Number.POSITIVE_INFINITY;
     for (const kind of this.possibleKinds(job)) {
-      if (this.rentals.isRefused(kind)) continue;
+      if (this.rentals.isRefused(kind) || fullZones?.has(kind.zone)) continue;
       const { type, zone, spot } = kind;
       const price = spot ? type.spotPrice * SPOT_PRICE_FACTOR : type.price;
       const crowding = 1 + CROWDED_ZONE_FACTOR * (this.machineCounts.get(countKey(type.name, zone)) ?? 0);
@@ -188,7 +209,7 @@
     for (const type of types) {
       if (avoidGpus && type.gpus > 0) continue;
       // A machine in another zone would be rented, found of no use, returned, and rented again.
-      const zones = type.zones.filter((zone) => job.boundTo === null || job.boundTo === zone);
+      const zones = type.zones.filter((zone) => isOpenZone(job, zone));
       for (const zone of zones) for (const spot of spotChoices) yield { type, zone, spot };
     }
   }
@@ -206,6 +227,10 @@
   }
 }
 
+/** Whether the job may use a machine in the zone, and has not filled its share of it. */
+const isOpenZone = (job: PlanJob, zone: ZoneName): boolean =>
+  (job.boundTo === null || job.boundTo === zone) && job.zoneRoom?.get(zone) !== 0;
+
 const countKey = (type: TypeName, zone: ZoneName): string => `${type}|${zone}`;
 
 /** How many of the job's tasks one machine of the type takes at once. */
--- a/src/core/machines/rentals.ts
+++ b/src/core/machines/rentals.ts
@@ -1,5 +1,5 @@
 import type { Cluster } from '../leadership/cluster.js';
-import type { MachineId, Steady, TypeName } from '../types.js';
+import type { MachineId, Steady } from '../types.js';
 import { Machine } from './machine.js';
 import { kindKey, type MachineKind } from './machine_kind.js';
 
@@ -43,13 +43,6 @@
     return this.pending.size > 0;
   }
 
-  /** How many machines of the type are being rented, in any zone and of either kind. */
-  countUnderWay(type: TypeName): number {
-    let count = 0;
-    for (const rental of this.pending.values()) if (rental.kind.type.name === type) count += rental.count;
-    return count;
-  }
-
   /** Whether the cloud lately had no machine of this kind. */
   isRefused(kind: MachineKind): boolean {
     const refusal = this.refusals.get(kindKey(kind));
--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -9,6 +9,7 @@
   NodeName,
   Revision,
   Session,
+  Steady,
   Token,
   TypeName,
   WorkerReport,
@@ -196,12 +197,20 @@
   Record<string, string | number | bigint | boolean | null | readonly string[] | undefined>
 >;
 
+/**
+ * Until when an output may leave. What only the leader may say is worth nothing once its lease may have run out, and what
+ * was confirmed of a job that isn't over may be old: the process may have been paused since the step that made it.
+ */
+interface Expiring {
+  readonly notAfter?: Steady;
+}
+
 /** What a step of the core asks the outside to carry out. */
 export type Output =
-  | { readonly kind: 'answerUser'; readonly req: RequestId; readonly answer: UserAnswer }
-  | { readonly kind: 'answerWorker'; readonly req: RequestId; readonly answer: WorkerAnswer }
+  | ({ readonly kind: 'answerUser'; readonly req: RequestId; readonly answer: UserAnswer } & Expiring)
+  | ({ readonly kind: 'answerWorker'; readonly req: RequestId; readonly answer: WorkerAnswer } & Expiring)
   | { readonly kind: 'store'; readonly call: CallId; readonly op: StoreOp; readonly timeoutMs: number }
-  | { readonly kind: 'cloud'; readonly call: CallId; readonly op: CloudOp }
-  | { readonly kind: 'worker'; readonly call: CallId; readonly op: WorkerOp }
-  | { readonly kind: 'peer'; readonly to: NodeName; readonly message: PeerMessage }
+  | ({ readonly kind: 'cloud'; readonly call: CallId; readonly op: CloudOp } & Expiring)
+  | ({ readonly kind: 'worker'; readonly call: CallId; readonly op: WorkerOp } & Expiring)
+  | ({ readonly kind: 'peer'; readonly to: NodeName; readonly message: PeerMessage } & Expiring)
   | { readonly kind: 'log'; readonly level: LogLevel; readonly text: string; readonly fields: LogFields };
--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -3,7 +3,7 @@
 import { Election } from './leadership/election.js';
 import { Leader } from './leadership/leader.js';
 import { Catalog } from './machines/catalog.js';
-import type { Input, Output, PeerMessage } from './messages.js';
+import type { Input, Output, PeerMessage, RequestId, UserRequest } from './messages.js';
 import { CancellationNotices } from './peers/cancellation_notices.js';
 import { MessageIds } from './peers/message_ids.js';
 import { PeerTable } from './peers/peer_table.js';
@@ -20,6 +20,10 @@
 /** The state service may fail for so long before load balancers hear of it. */
 const UNHEALTHY_AFTER_MS = 3000;
 
+/** Users wait 2 s for the answer to a poll, and 5 s for others: what isn't final is not said after that. */
+const POLL_ANSWER_MS = 1900;
+const ANSWER_MS = 4900;
+
 /**
  * One controller node as a state machine: inputs in, outputs out; no clock, no sockets, no chance of its own. It hands each
  * input and each timer that is due to the part that deals with it.
@@ -96,11 +100,13 @@
     });
   }
 
-  /** Takes one input, runs what is due, and returns what the outside has to carry out. */
+  /**
+   * Takes one input and returns what the outside has to carry out. Timers that are due have a step of their own: what an
+   * input brings about doesn't wait for a planning round.
+   */
   step(now: Now, input: Input): Output[] {
     this.ctx.beginStep(now);
     this.onInput(input);
-    for (const timer of this.ctx.timers.takeDue(now.steady)) this.onTimer(timer);
     return this.ctx.endStep();
   }
 
@@ -129,9 +135,10 @@
         this.start();
         return;
       case 'timer':
+        for (const timer of this.ctx.timers.takeDue(this.ctx.now.steady)) this.onTimer(timer);
         return;
       case 'user':
-        this.requestHandler.handle(input.request, (answer) => this.ctx.answerUser(input.req, answer));
+        this.onUserRequest(input.req, input.request);
         return;
       case 'report':
         this.router.onReport(input.req, input.report);
@@ -151,6 +158,11 @@
     }
   }
 
+  private onUserRequest(req: RequestId, request: UserRequest): void {
+    const deadline = this.ctx.after(request.op === 'poll' ? POLL_ANSWER_MS : ANSWER_MS);
+    this.requestHandler.handle(request, (answer) => this.ctx.answerUser(req, answer, deadline));
+  }
+
   private onTimer(timer: TimerName): void {
     switch (timer) {
       case 'election':
--- a/src/core/peers/request_relay.ts
+++ b/src/core/peers/request_relay.ts
@@ -40,7 +40,8 @@
   onAnswer(id: number, answer: UserAnswer): void {
     const relayed = this.pending.get(id);
     this.pending.delete(id);
-    relayed?.answer(answer);
+    // An answer that this process found on waking from a pause may be as old as that.
+    relayed?.answer(relayed.until > this.ctx.now.steady ? answer : NO_ANSWER);
   }
 
   /** Answers what no peer has answered in time. */
--- a/src/io/runtime.ts
+++ b/src/io/runtime.ts
@@ -9,6 +9,7 @@
 import { decodeCloudAnswer, encodeCloudCall } from './codecs/cloud_codec.js';
 import { decodeStoreAnswer, encodeStoreCall } from './codecs/store_codec.js';
 import { COMMANDS_PATH, decodeCommandsAnswer, encodeCommands } from './codecs/worker_codec.js';
+import { checkExpiry } from './expired_outputs.js';
 import { type HttpAnswer, HttpClient } from './http_client.js';
 import { makeHttpServer } from './http_server.js';
 import type { Log } from './log.js';
@@ -107,10 +108,16 @@
   }
 
   private step(input: Input): void {
-    for (const output of this.node.step(this.now(), input)) this.carryOut(output);
+    for (const output of this.node.step(this.now(), input)) this.carryOutIfDue(output);
     this.setTimer();
   }
 
+  private carryOutIfDue(output: Output): void {
+    const { output: due, reply } = checkExpiry(output, this.now().steady);
+    if (due) this.carryOut(due);
+    if (reply) setImmediate(() => this.step(reply));
+  }
+
   private setTimer(): void {
     const next = this.node.nextTimer();
     if (next === null) return;
--- a/test/sim/meters.ts
+++ b/test/sim/meters.ts
@@ -29,6 +29,8 @@
   /** Machines that a leader took out of use because tasks failed there. */
   takenOutOfUse = 0;
   frameBytes = 0;
+  /** Machines that were returned with tasks on them. */
+  returnedBusy = 0;
 
   constructor(private readonly clock: Clock) {}
 
--- a/test/sim/scenario_checks.ts
+++ b/test/sim/scenario_checks.ts
@@ -67,6 +67,11 @@
     const { takenOutOfUse } = world.meters;
     return takenOutOfUse <= Number(wanted) ? null : `${takenOutOfUse} machines taken out of use, more than ${wanted}`;
   },
+  /** expect returned-busy at-most N: machines that were returned with tasks on them */
+  'returned-busy'(world, [, wanted]) {
+    const { returnedBusy } = world.meters;
+    return returnedBusy <= Number(wanted) ? null : `${returnedBusy} machines returned with tasks, more than ${wanted}`;
+  },
   accepted(world, ids) {
     const open = ids.filter((id) => !world.rules.isAccepted(id as JobId));
     return open.length === 0 ? null : `not accepted: ${open.join(' ')}`;
--- a/test/sim/scenario_events.ts
+++ b/test/sim/scenario_events.ts
@@ -1,4 +1,4 @@
-import type { StoreOp } from '../../src/core/messages.js';
+import type { Output, StoreOp } from '../../src/core/messages.js';
 import type { JobId } from '../../src/core/types.js';
 import { type Build, PRESENT } from './build.js';
 import { sendInvalidRequest } from './invalid_requests.js';
@@ -72,6 +72,14 @@
 const takesLead = (op: StoreOp): boolean =>
   op.op === 'txn' && op.changes.some((change) => 'put' in change && change.put === 'leader');
 
+/** Outputs that only a leader may make. */
+const SENT: Readonly<Record<string, (output: Output) => boolean>> = {
+  return: (output) => output.kind === 'cloud' && output.op.op === 'delete',
+  rent: (output) => output.kind === 'cloud' && output.op.op === 'rent',
+  commands: (output) => output.kind === 'worker' && output.op.commands.length > 0,
+  answers: (output) => output.kind === 'answerWorker' && output.answer.status === 200,
+};
+
 export const events: Readonly<Record<string, Event>> = {
   submit(world, [id, shape, ...rest]) {
     const options = readOptions(rest);
@@ -93,6 +101,14 @@
   freeze(world, [which, seconds]) {
     for (const node of nodesNamed(world, which)) node.freeze(lasts(world, seconds));
   },
+  /** pause-sending NODE S return|rent|commands|answers: it stands still between making the next of these and sending them */
+  'pause-sending'(world, [which, seconds, what]) {
+    const isSuch = SENT[what ?? ''];
+    if (!isSuch) throw new Error(`nothing sent is called ${what}`);
+    for (const node of nodesNamed(world, which)) {
+      node.pauseBeforeSending = { ms: lasts(world, seconds), isDue: (outputs) => outputs.some(isSuch) };
+    }
+  },
   outage(world, [seconds]) {
     world.state.outage(lasts(world, seconds));
   },
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -157,6 +157,9 @@
     });
     this.cloud = new Cloud(this.clock, options.types, options.capacity, 3000, {
       boot: (id, type, zone, spot) => this.boot(id, type, zone, spot),
+      returned: (id) => {
+        if ((this.workers.get(id)?.tasks.size ?? 0) > 0) this.meters.returnedBusy += 1;
+      },
       gone: (id) => {
         this.workers.get(id)?.die();
         this.workers.delete(id);
