Failures on machines in doubt don't speak against a job; machines are judged after 2.5 s

Two jobs that fail there are enough again, once their other tasks have had time to fail too; and a job that met two such machines isn't taken for faulty.

--- a/src/core/jobs/failure_history.ts
+++ b/src/core/jobs/failure_history.ts
@@ -15,20 +15,33 @@
 const WELL_AFTER_FACTOR = 2;
 const WELL_AFTER_EXTRA_MS = 4000;
 
+/** A task's failure, as far as it bears on the job. */
+export interface TaskFailure {
+  readonly placedAt: Steady;
+  /** For how long it had run, as far as reports have told. */
+  readonly ranMs: number;
+  readonly now: Steady;
+  /** Other jobs have failed on the machine too: it says nothing of this one. */
+  readonly machineInDoubt: boolean;
+}
+
 /**
  * How a job's tasks have failed. It tells a job that was submitted with a mistake, which fails wherever it runs, from one
  * that met a faulty machine: the first has never done well anywhere.
  */
 export class FailureHistory {
+  /** When it last failed on each machine. */
   private readonly machines = new Map<MachineId, Steady>();
+  /** Machines that failed it while no other job had failed there. */
+  private readonly soundMachines = new Set<MachineId>();
   private succeeded = false;
   private failedTries = 0;
   private lastFailureAt = Number.NEGATIVE_INFINITY as Steady;
   private longestFailureMs = 0;
 
-  /** A task that was placed at `placedAt` failed after it ran for `ranMs`. */
-  noteFailure(machine: MachineId, placedAt: Steady, ranMs: number, now: Steady): void {
+  noteFailure(machine: MachineId, { placedAt, ranMs, now, machineInDoubt }: TaskFailure): void {
     this.machines.set(machine, now);
+    if (!machineInDoubt) this.soundMachines.add(machine);
     this.longestFailureMs = Math.max(this.longestFailureMs, ranMs);
     // Tasks that were placed together and fail together are one try.
     if (placedAt >= this.lastFailureAt) this.failedTries += 1;
@@ -44,6 +57,7 @@
   /** Forgets the machines that failed the job. */
   forgetMachines(): void {
     this.machines.clear();
+    this.soundMachines.clear();
   }
 
   /** Whether running for so long shows that a task does well. */
@@ -62,7 +76,7 @@
 
   /** Whether the job itself, rather than the machines that failed it, is likely at fault. */
   get isFaulty(): boolean {
-    return !this.succeeded && this.machines.size >= FAULTY_AFTER_MACHINES;
+    return !this.succeeded && this.soundMachines.size >= FAULTY_AFTER_MACHINES;
   }
 
   /** How long to wait before a faulty job is tried again. */
--- a/src/core/machines/health_checks.ts
+++ b/src/core/machines/health_checks.ts
@@ -85,7 +85,7 @@
     const { ctx, machines } = this.cluster;
     for (const machine of machines.values()) {
       if (!machine.taskFailures.any || machine.draining !== null) continue;
-      if (!machine.taskFailures.isMachineAtFault(ctx.tuning.machines.error_limit)) continue;
+      if (!machine.taskFailures.isMachineAtFault(ctx.tuning.machines.error_limit, ctx.now.steady)) continue;
       machine.draining = 'fails its tasks';
       ctx.log('info', 'machine fails what it starts: taking it out of use', { machine: machine.id });
     }
--- a/src/core/machines/task_failures.ts
+++ b/src/core/machines/task_failures.ts
@@ -1,19 +1,26 @@
 import type { FailureHistory } from '../jobs/failure_history.js';
+import type { Steady } from '../types.js';
 
-/** What a job says of a machine on which it failed while it isn't known yet to do well anywhere, against 1 otherwise. */
-const UNPROVEN_WEIGHT = 0.5;
+/**
+ * Jobs that aren't known yet to do well elsewhere count after so long: one that fails wherever it runs shows it by then, as
+ * its tasks on other machines have failed too.
+ */
+const SETTLE_MS = 2500;
 const FIRST_PAUSE_MS = 3000;
 const MAX_PAUSE_DOUBLINGS = 3;
 
 /**
  * What failed on a machine since a task last did well there. A failure speaks against the machine if the job does well
- * elsewhere, less if that isn't known yet, and not at all if the job fails wherever it runs.
+ * elsewhere or that isn't known yet, and not at all if the job fails wherever it runs.
  */
 export class TaskFailures {
   /** Failed tasks by the histories of their jobs. */
   private readonly counts = new Map<FailureHistory, number>();
 
-  note(job: FailureHistory): void {
+  private lastFailureAt = 0 as Steady;
+
+  note(job: FailureHistory, now: Steady): void {
+    this.lastFailureAt = now;
     this.counts.set(job, (this.counts.get(job) ?? 0) + 1);
   }
 
@@ -30,14 +37,21 @@
     return FIRST_PAUSE_MS * 2 ** Math.min(MAX_PAUSE_DOUBLINGS, this.counts.size - 1);
   }
 
+  /** Whether jobs other than this one have failed here that aren't at fault themselves. */
+  anyOfOthers(than: FailureHistory): boolean {
+    for (const job of this.counts.keys()) if (job !== than && !job.isFaulty) return true;
+    return false;
+  }
+
   /** Whether the failures amount to so many tasks of one job, or so many jobs, that do well elsewhere. */
-  isMachineAtFault(limit: number): boolean {
-    let weight = 0;
+  isMachineAtFault(limit: number, now: Steady): boolean {
+    const isSettled = now - this.lastFailureAt >= SETTLE_MS;
+    let jobs = 0;
     for (const [job, tasks] of this.counts) {
       if (job.isFaulty) continue;
       if (job.hasSucceeded && tasks >= limit) return true;
-      weight += job.hasSucceeded ? 1 : UNPROVEN_WEIGHT;
+      if (job.hasSucceeded || isSettled) jobs += 1;
     }
-    return weight >= limit;
+    return jobs >= limit;
   }
 }
--- a/src/core/workers/task_exits.ts
+++ b/src/core/workers/task_exits.ts
@@ -81,8 +81,8 @@
 }
 
 function recordShortRun({ ctx }: Cluster, placement: Placement): void {
-  const { job, machine, since } = placement;
-  job.failureHistory.noteFailure(machine.id, since, ranMs(placement, ctx.now.steady), ctx.now.steady);
+  const { job, since } = placement;
+  noteJobFailure(placement, ctx.now.steady);
   // Replicas that began together and end together have failed once.
   if (since >= job.lastShortRunAt) {
     job.shortRuns += 1;
@@ -93,8 +93,15 @@
   job.notBefore = ctx.after(Math.min(MAX_RESTART_PAUSE_MS, pauseMs));
 }
 
-/** For how long a task has run, as far as reports have told. */
-const ranMs = ({ runningSince }: Placement, now: Steady): number => (runningSince === null ? 0 : now - runningSince);
+function noteJobFailure({ job, machine, since, runningSince }: Placement, now: Steady): void {
+  const { failureHistory } = job;
+  failureHistory.noteFailure(machine.id, {
+    placedAt: since,
+    ranMs: runningSince === null ? 0 : now - runningSince,
+    now,
+    machineInDoubt: machine.taskFailures.anyOfOthers(failureHistory),
+  });
+}
 
 function recordFailure(cluster: Cluster, placement: Placement, task: TaskReport): void {
   const { ctx } = cluster;
@@ -112,8 +119,7 @@
     return;
   }
   if (reason !== 'error') return;
-  const now = ctx.now.steady;
-  job.failureHistory.noteFailure(machine.id, placement.since, ranMs(placement, now), now);
+  noteJobFailure(placement, ctx.now.steady);
   if (job.isFaulty) pauseFaultyJob(cluster, job);
   else recordMachineError(cluster, machine, job);
 }
@@ -127,6 +133,6 @@
 
 /** Whether the machine is at fault is judged once it is known how the job does elsewhere (health_checks.ts). */
 function recordMachineError({ ctx }: Cluster, machine: Machine, job: Job): void {
-  machine.taskFailures.note(job.failureHistory);
+  machine.taskFailures.note(job.failureHistory, ctx.now.steady);
   machine.suspectUntil = ctx.after(machine.taskFailures.pauseMs);
 }
