Four thousand machines: enough of them are looked at, large arrays and rentals go with the fleet, connections take turns

Of more than 800 machines those with room now are looked at first, as many as the job has tasks and 300 at least. An array's tasks in a round grow with the machines instead of ending at 400, rentals of more than 50 go out as several requests, and a node with most of its sockets in use ends connections with their answers, so that more machines than sockets take turns.

--- a/src/core/machines/rentals.ts
+++ b/src/core/machines/rentals.ts
@@ -5,6 +5,8 @@
 
 /** What the cloud takes in one request. */
 const MAX_PER_REQUEST = 50;
+/** So many requests are open at once; more would only wait for tokens. */
+const MAX_PENDING = 12;
 const RENT_PRIORITY = 1;
 /** A request without an answer is repeated for so long; its name makes that safe. */
 const REPEAT_MS = 20_000;
@@ -49,13 +51,19 @@
     return refusal !== undefined && refusal.until > this.cluster.ctx.now.steady;
   }
 
-  /** Asks for so many machines, or as many as one request takes. */
+  /** Asks for so many machines, in as many requests as it takes; what is left is asked for in the next round. */
   rent(kind: MachineKind, count: number): void {
+    for (let left = count; left > 0 && this.pending.size < MAX_PENDING; left -= MAX_PER_REQUEST) {
+      this.request(kind, Math.min(left, MAX_PER_REQUEST));
+    }
+  }
+
+  private request(kind: MachineKind, count: number): void {
     this.requests += 1;
     // The term makes the name unique among all nodes; a name is never used for a second request.
     const request = `r-${this.cluster.term}-${this.requests}`;
     const since = this.cluster.ctx.now.steady;
-    const rental: Rental = { kind, request, count: Math.min(count, MAX_PER_REQUEST), since };
+    const rental: Rental = { kind, request, count, since };
     this.pending.set(request, rental);
     this.send(rental);
   }
--- a/src/core/scheduler/candidates.ts
+++ b/src/core/scheduler/candidates.ts
@@ -1,5 +1,5 @@
 import type { MachineType } from '../types.js';
-import { at, fitsType, lacksSpareRoom, machineShare, slackAfter } from './plan_machine.js';
+import { at, fitsNow, fitsType, lacksSpareRoom, machineShare, slackAfter } from './plan_machine.js';
 import type { PlacementPenalties, PlanJob, PlanMachine } from './plan_types.js';
 
 /** Starts are preferred in steps of half a second: those that close count as one, and best fit decides. */
@@ -7,6 +7,10 @@
 /** A cached image keeps a machine for jobs that need this much more of it. */
 const LARGER_SHARE = 0.01;
 
+/** Up to so many machines all are looked at; of more, so many with room now at least. */
+const ALL_CONSIDERED = 800;
+const MIN_CONSIDERED = 300;
+
 /** A machine that may take tasks of a job, and the best that it offers now. */
 export interface Candidate {
   readonly slot: number;
@@ -40,6 +44,29 @@
   return seconds * job.penaltyFactor + (machine.spot ? job.spotDelayS : 0);
 }
 
+/**
+ * Of very many machines, enough that have room now, those first that hold the image; all of them where there are fewer. With
+ * thousands of machines a round would otherwise cost all machines times all jobs it plans.
+ */
+export function slotsWithRoomNow(
+  job: PlanJob,
+  machines: readonly PlanMachine[],
+  slots: readonly number[],
+): readonly number[] {
+  if (slots.length <= ALL_CONSIDERED) return slots;
+  const enough = Math.max(MIN_CONSIDERED, job.tasks);
+  const holders: number[] = [];
+  const others: number[] = [];
+  for (const slot of slots) {
+    const machine = machines[slot] as PlanMachine;
+    if ((machine.spot && !job.spotOk) || at(machine.times, 0) > 0 || !fitsNow(machine, job)) continue;
+    if (machine.fetchS(job.image, job.imageGb) === 0) holders.push(slot);
+    else if (others.length < enough) others.push(slot);
+    if (holders.length >= enough) return holders;
+  }
+  return holders.length + others.length >= enough ? [...holders, ...others] : slots;
+}
+
 /** The machines among `slots` that may take tasks of the job at some time. */
 export function findCandidates(
   job: PlanJob,
--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -1,6 +1,6 @@
 import { AMOUNT_TOLERANCE } from '../amounts.js';
 import type { Resources, ZoneName } from '../types.js';
-import { type Candidate, CandidateHeap, findCandidates, isBefore, offer } from './candidates.js';
+import { type Candidate, CandidateHeap, findCandidates, isBefore, offer, slotsWithRoomNow } from './candidates.js';
 import { asksNoLess, leastDemands } from './fill_checks.js';
 import { type GangPlacement, GangSearch } from './gang_search.js';
 import { allowedCount, at, cloneMachine, fitCount, fitsNow, reserveRoom, utilization } from './plan_machine.js';
@@ -82,6 +82,14 @@
     return found;
   }
 
+  /** The candidates among all machines of some zones. */
+  private candidatesIn(job: PlanJob, zones: readonly ZoneName[]): Candidate[] {
+    const slots = slotsWithRoomNow(job, this.machines, this.slotsIn(zones));
+    const found = findCandidates(job, this.machines, slots, this.penalties);
+    this.steps += found.length;
+    return found;
+  }
+
   private slotsIn(zones: readonly ZoneName[]): readonly number[] {
     if (zones.length === 1) return this.slotsByZone.get(zones[0] as ZoneName) ?? [];
     const all: number[] = [];
@@ -135,7 +143,7 @@
   /** The zone whose machines that the job fits have most room now. */
   private roomiestZone(job: PlanJob): ZoneName {
     const room = new Map<ZoneName, number>();
-    for (const { machine } of this.candidates(job, this.slotsIn(job.zones))) {
+    for (const { machine } of this.candidatesIn(job, job.zones)) {
       const count = fitCount(machine, 0, job.durationS, job) - at(machine.times, 0) * LATER_ROOM_FACTOR;
       room.set(machine.zone, (room.get(machine.zone) ?? 0) + count);
     }
@@ -147,7 +155,7 @@
   // ---- arrays
 
   private planArray(job: PlanJob, zones: readonly ZoneName[], tasks: number, draft: Draft): number {
-    const candidates = this.candidates(job, this.slotsIn(zones));
+    const candidates = this.candidatesIn(job, zones);
     for (const candidate of candidates) this.findEarliest(candidate, job);
     const heap = new CandidateHeap(candidates.filter(({ count }) => count > 0));
     const maxTurns = TURNS_PER_CANDIDATE * candidates.length + EXTRA_TURNS;
@@ -196,7 +204,7 @@
 
   private planGang(job: PlanJob, zone: ZoneName, draft: Draft): number {
     const zones = job.sameZone ? [zone] : [zone, ...job.zones.filter((other) => other !== zone)];
-    const candidates = this.candidates(job, this.slotsIn(zones));
+    const candidates = this.candidatesIn(job, zones);
     const search = new GangSearch(job, zone, candidates);
     const best = search.earliest(this.penalties.gangFutureDiscount);
     this.steps += search.steps;
--- a/src/core/scheduler/ranking.ts
+++ b/src/core/scheduler/ranking.ts
@@ -19,7 +19,9 @@
 const GROUPS = { overdue: 2, guaranteed: 1, others: 0, faulty: -1 } as const;
 type RankGroup = (typeof GROUPS)[keyof typeof GROUPS];
 
-const MAX_TASKS_PLANNED = 400;
+/** Of one array a round plans so many tasks, and more where there are more machines for them. */
+const MIN_TASKS_PLANNED = 400;
+const TASKS_PLANNED_PER_MACHINE = 2;
 /** Of an array that has waited too long so many tasks are enough, so that others go on too. */
 const OVERDUE_TASKS = 20;
 /** Of an array that takes whatever room there is, so many tasks are enough to go on. */
@@ -104,7 +106,8 @@
 
 /** How many of the job's waiting tasks its team's limit allows now; of a gang all or none. */
 function tasksWithinLimit(cluster: Cluster, job: Job): number {
-  const pending = Math.min(job.pendingCount, MAX_TASKS_PLANNED);
+  const maxTasks = Math.max(MIN_TASKS_PLANNED, TASKS_PLANNED_PER_MACHINE * cluster.machines.size);
+  const pending = Math.min(job.pendingCount, maxTasks);
   const room = cluster.quotas.room(job.spec);
   // A job that fails wherever it runs is tried with one task at a time.
   if (job.isFaulty && !job.isGang) return job.placements.size === 0 ? Math.min(pending, room, 1) : 0;
--- a/src/io/http_server.ts
+++ b/src/io/http_server.ts
@@ -27,6 +27,8 @@
 /** Some sockets stay free for calls of our own. */
 const INBOUND_SOCKET_SHARE = 0.85;
 const MIN_INBOUND_SOCKETS = 16;
+/** Beyond this part of them connections end with their answer. */
+const KEEP_ALIVE_SOCKET_SHARE = 0.8;
 
 // biome-ignore lint/style/useNamingConvention: hono's own name.
 type Environment = { Bindings: HttpBindings };
@@ -118,12 +120,22 @@
   // The adapter's own light Response (it stands for the global one) goes out in one write: Node's, a web stream, costs a
   // quarter of what a whole report does.
   const listener = getRequestListener(makeApp(handlers).fetch);
+  const inboundSockets = Math.max(MIN_INBOUND_SOCKETS, Math.floor(maxConnections * INBOUND_SOCKET_SHARE));
+  let openConnections = 0;
   const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true }, (request, response) => {
+    // More machines than sockets take turns, instead of the first ones keeping the others out.
+    if (openConnections > inboundSockets * KEEP_ALIVE_SOCKET_SHARE) response.shouldKeepAlive = false;
     void listener(request, response);
   });
+  server.on('connection', (socket) => {
+    openConnections += 1;
+    socket.once('close', () => {
+      openConnections -= 1;
+    });
+  });
   // Slow and half-open connections are bounded in time and number.
   server.headersTimeout = HEADERS_TIMEOUT_MS;
   server.requestTimeout = REQUEST_TIMEOUT_MS;
-  server.maxConnections = Math.max(MIN_INBOUND_SOCKETS, Math.floor(maxConnections * INBOUND_SOCKET_SHARE));
+  server.maxConnections = inboundSockets;
   return server;
 }
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -157,6 +157,19 @@
   for (const socket of idle) socket.destroy();
 });
 
+test('connections persist, and end with their answer once most sockets are taken', async () => {
+  const kept = await ask('GET', '/up');
+  assert.notEqual(kept.headers.connection, 'close');
+  // The server has 200 sockets, 170 of them for others.
+  const idle = Array.from({ length: 140 }, () => connect(port, '127.0.0.1'));
+  await Promise.all(idle.map((socket) => new Promise((resolve) => socket.once('connect', resolve))));
+  // The server takes connections in one after the other.
+  let crowded = await ask('GET', '/up');
+  for (let tries = 0; tries < 50 && crowded.headers.connection !== 'close'; tries++) crowded = await ask('GET', '/up');
+  assert.equal(crowded.headers.connection, 'close');
+  for (const socket of idle) socket.destroy();
+});
+
 function cli(...args: string[]): { status: number | null; out: string; err: string } {
   const run = spawnSync(process.execPath, [main, ...args], { cwd: root, encoding: 'utf8', timeout: 20_000 });
   return { status: run.status, out: run.stdout, err: run.stderr };
