--- /dev/null
+++ b/test/sim/wire_services.ts
@@ -0,0 +1,176 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { decode, encode } from '../../src/io/codecs/cbor.js';
+
+/*
+ * Stand-ins for the state service and the cloud that real processes can talk to: as little as a node needs to lead, in real
+ * time and by the names on the wire.
+ */
+
+interface Entry {
+  readonly data: unknown;
+  readonly feather: number;
+  readonly tether: number | null;
+}
+
+interface Lease {
+  readonly lifeMs: number;
+  end: NodeJS.Timeout;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+type Fields = Record<string, unknown>;
+
+const NOT_FOUND = 404;
+const CONFLICT = 409;
+
+/** One store and one cloud with a single machine type, on one address. */
+export class WireServices {
+  private readonly entries = new Map<string, Entry>();
+  private readonly leases = new Map<number, Lease>();
+  private changed: (() => void)[] = [];
+  private revision = 1;
+  private lastLease = 0;
+  private readonly server: Server;
+
+  constructor(private readonly zone: string) {
+    this.server = createServer((request, response) => void this.serve(request, response));
+  }
+
+  async start(): Promise<number> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  stop(): void {
+    for (const { end } of this.leases.values()) clearTimeout(end);
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  /** Who holds the lead; null: nobody. */
+  leader(): string | null {
+    const data = this.entries.get('leader')?.data as { node?: string } | undefined;
+    return data?.node ?? null;
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const parts: Buffer[] = [];
+    for await (const part of request) parts.push(part as Buffer);
+    const body = parts.length > 0 ? (decode(Buffer.concat(parts)) as Fields) : {};
+    const url = new URL(request.url ?? '/', 'http://stand-in');
+    const { status, body: answer } = await this.answer(request.method ?? 'GET', url, body);
+    response.writeHead(status, { 'content-type': 'application/cbor' });
+    response.end(encode(answer));
+  }
+
+  private async answer(method: string, url: URL, body: Fields): Promise<Answer> {
+    const { pathname, searchParams } = url;
+    if (pathname === '/catalog') return ok({ breeds: [this.machineType()] });
+    if (pathname === '/hosts') return ok({ perches: [], has_next: false });
+    if (pathname === '/kv') return this.list(searchParams.get('under') ?? '');
+    if (pathname.startsWith('/kv/')) return this.get(pathname.slice('/kv/'.length));
+    if (pathname === '/multi') return this.transaction(body);
+    if (pathname === '/grants') return this.grant(Number(body.life_ms));
+    if (pathname.startsWith('/grants/')) return this.onLease(method, Number(pathname.split('/')[2]));
+    if (pathname === '/follow') return await this.follow(searchParams);
+    return { status: NOT_FOUND, body: {} };
+  }
+
+  private machineType(): Fields {
+    const size = { cpus: 8, gpus: 0, mem_gb: 32, local_gb: 50, fetch_gb_per_s: 0.5 };
+    return { name: 'c8', ...size, rate: 0.4, spot_price: 0.1, startup_s: 20, groves: [this.zone] };
+  }
+
+  private get(key: string): Answer {
+    const entry = this.entries.get(key);
+    if (!entry) return { status: NOT_FOUND, body: { molt: this.revision } };
+    return ok({ k: key, data: entry.data, feather: entry.feather, tether: entry.tether });
+  }
+
+  private list(prefix: string): Answer {
+    const found = [...this.entries].filter(([key]) => key.startsWith(prefix));
+    const entries = found.map(([k, { data, feather }]) => ({ k, data, feather }));
+    return ok({ entries, has_next: false, molt: this.revision });
+  }
+
+  private transaction(body: Fields): Answer {
+    const conditions = (body.if ?? []) as { k: string; feather: number }[];
+    const failed = conditions.filter(({ k, feather }) => (this.entries.get(k)?.feather ?? 0) !== Number(feather));
+    if (failed.length > 0) return { status: CONFLICT, body: { failed: failed.map(({ k }) => k), molt: this.revision } };
+    const changes = (body.then ?? []) as Fields[];
+    if (changes.length === 0) return ok({ molt: this.revision });
+    this.revision += 1;
+    for (const change of changes) {
+      if (typeof change.drop === 'string') this.entries.delete(change.drop);
+      else this.put(String(change.put), change.data, change.tether === undefined ? null : Number(change.tether));
+    }
+    this.tellWatches();
+    return ok({ molt: this.revision });
+  }
+
+  private put(key: string, data: unknown, tether: number | null): void {
+    this.entries.set(key, { data, feather: this.revision, tether });
+  }
+
+  private grant(lifeMs: number): Answer {
+    this.lastLease += 1;
+    const id = this.lastLease;
+    this.leases.set(id, { lifeMs, end: setTimeout(() => this.endLease(id), lifeMs) });
+    return ok({ tether: id });
+  }
+
+  private onLease(method: string, id: number): Answer {
+    const lease = this.leases.get(id);
+    if (!lease) return { status: NOT_FOUND, body: {} };
+    clearTimeout(lease.end);
+    if (method === 'DELETE') this.endLease(id);
+    else lease.end = setTimeout(() => this.endLease(id), lease.lifeMs);
+    return ok({});
+  }
+
+  private endLease(id: number): void {
+    this.leases.delete(id);
+    this.revision += 1;
+    for (const [key, { tether }] of this.entries) if (tether === id) this.entries.delete(key);
+    this.tellWatches();
+  }
+
+  private tellWatches(): void {
+    const waiting = this.changed;
+    this.changed = [];
+    for (const tell of waiting) tell();
+  }
+
+  /** Tells at once of everything that has changed; a dropped key is only noticed by reading it again. */
+  private async follow(parameters: URLSearchParams): Promise<Answer> {
+    const prefix = parameters.get('under') ?? '';
+    const after = Number(parameters.get('after'));
+    const until = performance.now() + Number(parameters.get('wait_ms'));
+    const news = (): Fields[] =>
+      [...this.entries]
+        .filter(([key, { feather }]) => key.startsWith(prefix) && feather > after)
+        .map(([put, { data, feather }]) => ({ put, data, feather }));
+    const atFirst = this.revision;
+    while (news().length === 0 && this.revision === atFirst && performance.now() < until) {
+      await this.nextChange(until - performance.now());
+    }
+    return ok({ molt: this.revision, news: news() });
+  }
+
+  private nextChange(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, ms);
+      this.changed.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+}
+
+const ok = (body: unknown): Answer => ({ status: 200, body });
