--- a/src/core/leadership/cluster.ts
+++ b/src/core/leadership/cluster.ts
@@ -200,9 +200,13 @@
 
   /** One task of a gang is lost: the others of its attempt have nothing to wait for. */
   breakGang(job: Job): void {
-    if (job.gangBroken) return;
+    if (!job.gangBroken) this.evictGang(job, 0);
+  }
+
+  /** All of a gang leaves; what was only planned is gone at once. */
+  private evictGang(job: Job, graceS: number): void {
     job.gangBroken = true;
-    for (const placement of [...job.placements.values()]) this.evict(placement, 0);
+    for (const placement of [...job.placements.values()]) this.evict(placement, graceS);
     if (job.placements.size === 0) job.gangBroken = false;
   }
 
@@ -218,12 +222,8 @@
     const { job } = placement;
     const { checkpointS, saveS } = job.spec;
     const graceS = checkpointS > 0 ? saveS * SAVE_TIME_FACTOR + SAVE_TIME_EXTRA_S : 0;
-    if (!job.isGang) {
-      this.evict(placement, graceS);
-      return;
-    }
-    job.gangBroken = true;
-    for (const member of [...job.placements.values()]) this.evict(member, graceS);
+    if (job.isGang) this.evictGang(job, graceS);
+    else this.evict(placement, graceS);
   }
 
   findPlacement(machine: Machine, job: JobId, index: number): Placement | undefined {
--- a/src/core/scheduler/hosting.ts
+++ b/src/core/scheduler/hosting.ts
@@ -16,6 +16,22 @@
   );
 }
 
+/** Whether a job asks for no GPUs and fits a type without any. */
+export function fitsTypesWithoutGpus({ types }: Cluster, job: Job): boolean {
+  if (job.spec.gpus > 0) return false;
+  for (const type of types.values()) {
+    if (type.gpus === 0 && type.zones.some((zone) => couldHost(job, type, zone))) return true;
+  }
+  return false;
+}
+
+/** How many more tasks of a spread job each zone may take; null: no such limit. */
+export function roomByZone({ ctx }: Cluster, job: Job): Map<ZoneName, number> | null {
+  if (!job.spec.spread) return null;
+  const counts = job.zoneCounts();
+  return new Map(ctx.settings.zones.map((zone) => [zone, Math.max(0, job.zoneLimit - (counts.get(zone) ?? 0))]));
+}
+
 /** Whether a job allows the machine: its type, its zone and its kind. */
 export function allows(job: Job, machine: Machine): boolean {
   return couldHost(job, machine.type, machine.zone) && (job.spec.spotOk || !machine.spot);
--- a/src/core/scheduler/plan_input.ts
+++ b/src/core/scheduler/plan_input.ts
@@ -4,7 +4,7 @@
 import { kindKey } from '../machines/machine_kind.js';
 import { spotDelayS } from '../machines/spot_interruptions.js';
 import type { JobId, MachineId, Steady, TypeName, ZoneName } from '../types.js';
-import { couldHost } from './hosting.js';
+import { couldHost, fitsTypesWithoutGpus, roomByZone } from './hosting.js';
 import { machineShare } from './plan_machine.js';
 import type { PlanJob, PlanMachine } from './plan_types.js';
 import { userWeight } from './priority.js';
@@ -91,11 +91,11 @@
       image: spec.image,
       imageGb: spec.imageGb,
       types: spec.types,
-      fitsTypesWithoutGpus: this.fitsTypesWithoutGpus(job),
+      fitsTypesWithoutGpus: fitsTypesWithoutGpus(this.cluster, job),
       spotOk: spec.spotOk,
       spotDelayS: spotDelayS(spotInterruptions.perS, durationS, spec.checkpointS),
       sameZone: spec.sameZone,
-      zoneRoom: zoneRoom(job, ctx.settings.zones),
+      zoneRoom: roomByZone(this.cluster, job),
       zones,
       boundTo: spec.zone ?? (isBound ? (zones[0] as ZoneName) : null),
       weight: userWeight(spec.rank, ctx.tuning.scheduler.priority_base),
@@ -105,14 +105,6 @@
     };
   }
 
-  private fitsTypesWithoutGpus(job: Job): boolean {
-    if (job.spec.gpus > 0) return false;
-    for (const type of this.cluster.types.values()) {
-      if (type.gpus === 0 && type.zones.some((zone) => couldHost(job, type, zone))) return true;
-    }
-    return false;
-  }
-
   private slotsToAvoid(job: Job): Set<number> | null {
     const slots = new Set<number>();
     for (const reservation of this.reservations) if (reservation.job !== job.id) slots.add(reservation.slot);
@@ -124,13 +116,6 @@
   }
 }
 
-/** Most tasks of a spread job that each zone may still take. */
-function zoneRoom(job: Job, zones: readonly ZoneName[]): Map<ZoneName, number> | null {
-  if (!job.spec.spread) return null;
-  const counts = job.zoneCounts();
-  return new Map(zones.map((zone) => [zone, Math.max(0, job.zoneLimit - (counts.get(zone) ?? 0))]));
-}
-
 function planMachines(cluster: Cluster, machines: readonly Machine[], ranked: readonly RankedJob[]): PlanMachine[] {
   const demand = gpuDemand(cluster);
   const reserved = typesReservedForGangs(cluster, ranked);
--- a/src/core/scheduler/services.ts
+++ b/src/core/scheduler/services.ts
@@ -2,7 +2,7 @@
 import type { Cluster } from '../leadership/cluster.js';
 import type { Machine } from '../machines/machine.js';
 import type { ZoneName } from '../types.js';
-import { couldHost, isOnlyIn, mayHost, mayHostInstead, placeTask } from './hosting.js';
+import { fitsTypesWithoutGpus, isOnlyIn, mayHost, mayHostInstead, placeTask, roomByZone } from './hosting.js';
 import { type EvictionOption, evictFor, evictionOption } from './preemption.js';
 import { type GpuDemand, gpuDemand, spareRoom } from './spare_room.js';
 
@@ -50,7 +50,7 @@
   let placed = 0;
   let stoppedFor = 0;
   for (const job of waitingServices(cluster, unreconciled)) {
-    const zoneRoom = zoneRoomOf(job);
+    const zoneRoom = roomByZone(cluster, job);
     job.replicaPendingSince ??= cluster.ctx.now.steady;
     placed += placeReplicas(cluster, job, zoneRoom);
     if (job.pendingCount === 0) job.replicaPendingSince = null;
@@ -76,11 +76,6 @@
   return placed;
 }
 
-function zoneRoomOf(job: Job): ZoneRoom {
-  if (!job.spec.spread) return null;
-  return new Map([...job.zoneCounts()].map(([zone, count]) => [zone, job.zoneLimit - count]));
-}
-
 const hasZoneRoom = (zoneRoom: ZoneRoom, zone: ZoneName, job: Job): boolean =>
   zoneRoom === null || (zoneRoom.get(zone) ?? job.zoneLimit) > 0;
 
@@ -178,9 +173,7 @@
 
 function cheapestEviction(cluster: Cluster, job: Job, zoneRoom: ZoneRoom): EvictionOption | null {
   const now = cluster.ctx.now.steady;
-  const avoidGpus = [...cluster.types.values()].some(
-    (type) => type.gpus === 0 && type.zones.some((zone) => couldHost(job, type, zone)),
-  );
+  const avoidGpus = fitsTypesWithoutGpus(cluster, job);
   let cheapest: EvictionOption | null = null;
   let lowestCost = Number.POSITIVE_INFINITY;
   for (const machine of cluster.machines.values()) {
@@ -206,7 +199,7 @@
   const moving = [...job.placements.values()].filter(({ stop }) => stop !== null).length;
   const maxMoving = Math.max(1, Math.ceil(job.spec.tasks * MAX_MOVING_SHARE));
   if (moving + job.pendingCount >= maxMoving) return;
-  const zoneRoom = zoneRoomOf(job);
+  const zoneRoom = roomByZone(cluster, job);
   // Its own place comes free with the move.
   zoneRoom?.set(from.zone, (zoneRoom.get(from.zone) ?? job.zoneLimit) + 1);
   const mayTakeGpuCores = gpuCoreCheck(cluster, job);
