--- a/src/core/scheduler/planner.ts
+++ b/src/core/scheduler/planner.ts
@@ -22,6 +22,9 @@
 const TURNS_PER_CANDIDATE = 2;
 const EXTRA_TURNS = 4;
 
+/** An array of which so many tasks are planned takes what room there is in any zone, not in one zone a round. */
+const HUGE_ARRAY_TASKS = 400;
+
 /** What the plan in progress has decided so far. */
 interface Draft {
   readonly starts: PlannedStart[];
@@ -108,7 +111,8 @@
 
   /** Returns the job's mean wait from now, in seconds. */
   private planJob(job: PlanJob, gene: ZoneName | null, draft: Draft): number {
-    const overAllZones = gene === null && !job.zoneRoom && !(job.gang && job.sameZone);
+    const isHuge = !job.gang && !job.sameZone && job.tasks >= HUGE_ARRAY_TASKS;
+    const overAllZones = (gene === null || isHuge) && !job.zoneRoom && !(job.gang && job.sameZone);
     if (overAllZones) {
       return job.gang
         ? this.planGang(job, job.zones[0] as ZoneName, draft)
