A 404 to a cancellation is judged by when it left its node

The 404 was true when it was given. The check went by arrival; it now goes by when the 404 left its node, and any that leaves after the user was told of the acceptance breaks the rule as before.

--- a/test/sim/rules.ts
+++ b/test/sim/rules.ts
@@ -30,6 +30,7 @@
   readonly tasksOnMachines = new Map<JobId, Map<number, OnMachine[]>>();
   readonly done = new Map<JobId, Set<number>>();
   private readonly accepted = new Set<JobId>();
+  private readonly acceptedToldAt = new Map<JobId, number>();
   private readonly finalStates = new Map<JobId, 'done' | 'cancelled'>();
   readonly cancelAsked = new Set<JobId>();
   private readonly cancelledAt = new Map<JobId, number>();
@@ -65,6 +66,11 @@
     this.submittedAt.set(spec.id, this.clock.now);
   }
 
+  /** Whether the user was first told that the job is accepted after that time, or never. */
+  wasAcceptedAfter(job: JobId, time: number): boolean {
+    return (this.acceptedToldAt.get(job) ?? Number.POSITIVE_INFINITY) > time;
+  }
+
   /** How long a job waited until its first task began; until now if none has. */
   beginMs(job: JobId): number {
     return (this.begunAt.get(job) ?? this.clock.now) - (this.submittedAt.get(job) ?? this.clock.now);
@@ -255,6 +261,7 @@
     if (!this.submitted.has(job)) this.breakRule('invented', job);
     const isNews = !this.accepted.has(job) || (status !== this.finalStates.get(job) && isFinal(status));
     this.accepted.add(job);
+    if (!this.acceptedToldAt.has(job)) this.acceptedToldAt.set(job, this.clock.now);
     this.answeredAt.set(job, this.clock.now);
     const before = this.finalStates.get(job);
     const isOlder = before !== undefined && status !== before && givenAt >= (this.finalToldAt.get(job) ?? 0);
