--- a/src/core/leadership/cluster.ts
+++ b/src/core/leadership/cluster.ts
@@ -238,9 +238,10 @@
   }
 
   /** Whether a machine on its way will not be up when it should be. */
-  isOverdue({ phase, type, zone, rentedAt }: Machine): boolean {
+  isOverdue(machine: Machine): boolean {
     const now = this.ctx.now.steady;
-    return phase === 'booting' && this.bootTimes.isOverdue(type, zone, (now - rentedAt) / 1000, now);
+    const { phase, type, zone } = machine;
+    return phase === 'booting' && this.bootTimes.isOverdue(type, zone, machine.ageS(now), now);
   }
 
   /** Whether the machine is on its way, and may be counted on. */
--- a/src/core/scheduler/candidates.ts
+++ b/src/core/scheduler/candidates.ts
@@ -44,6 +44,10 @@
   return seconds * job.penaltyFactor + (machine.spot ? job.spotDelayS : 0);
 }
 
+/** Whether the machine's kind and what it can spare are open to the job, which need not fit its type. */
+const isOpenTo = (job: PlanJob, machine: PlanMachine): boolean =>
+  (job.spotOk || !machine.spot) && !job.avoid?.has(machine.slot) && !lacksSpareRoom(machine, job);
+
 /**
  * Of very many machines, enough that have room now, those first that hold the image; all of them where there are fewer. With
  * thousands of machines a round would otherwise cost all machines times all jobs it plans.
@@ -59,7 +63,9 @@
   const others: number[] = [];
   for (const slot of slots) {
     const machine = machines[slot] as PlanMachine;
-    if ((machine.spot && !job.spotOk) || at(machine.times, 0) > 0 || !fitsNow(machine, job)) continue;
+    if (at(machine.times, 0) > 0 || !fitsNow(machine, job)) continue;
+    // What `findCandidates` would leave out must not count as enough.
+    if (!isOpenTo(job, machine) || !fitsType(job, machine.type)) continue;
     if (machine.fetchS(job.image, job.imageGb) === 0) holders.push(slot);
     else if (others.length < enough) others.push(slot);
     if (holders.length >= enough) return holders;
@@ -79,14 +85,14 @@
   const shares = new Map<MachineType, number>();
   for (const slot of slots) {
     const machine = machines[slot] as PlanMachine;
-    if ((machine.spot && !job.spotOk) || job.avoid?.has(slot)) continue;
+    // Most machines with GPUs have nothing to spare: looking no further there is a third of the cost of small work.
+    if (!isOpenTo(job, machine)) continue;
     let share = shares.get(machine.type);
     if (share === undefined) {
       share = fitsType(job, machine.type) ? machineShare(job, machine.type) : -1;
       shares.set(machine.type, share);
     }
-    // Most machines with GPUs have nothing to spare: looking no further there is a third of the cost of small work.
-    if (share < 0 || lacksSpareRoom(machine, job)) continue;
+    if (share < 0) continue;
     found.push({
       slot,
       machine,
--- a/src/core/scheduler/plan_input.ts
+++ b/src/core/scheduler/plan_input.ts
@@ -117,13 +117,21 @@
 }
 
 function planMachines(cluster: Cluster, machines: readonly Machine[], ranked: readonly RankedJob[]): PlanMachine[] {
-  const demand = gpuDemand(cluster);
-  const reserved = typesReservedForGangs(cluster, ranked);
-  const awaited = kindsAwaitedByGpuWork(cluster, ranked);
-  return machines.map((machine, slot) => ({
-    ...planMachine(cluster, machine, slot, demand, reserved),
-    servesGpuWork: awaited.has(kindKey(machine)) || machine.hasGpuWork(cluster.ctx.now.steady),
-  }));
+  const claims: GpuClaims = {
+    demand: gpuDemand(cluster),
+    reservedTypes: typesReservedForGangs(cluster, ranked),
+    awaitedKinds: kindsAwaitedByGpuWork(cluster, ranked),
+  };
+  return machines.map((machine, slot) => planMachine(cluster, machine, slot, claims));
+}
+
+/** What GPU work there is asks of machines, by type or kind. */
+interface GpuClaims {
+  readonly demand: GpuDemand;
+  /** Types of which gangs wait for whole machines on demand. */
+  readonly reservedTypes: ReadonlySet<TypeName>;
+  /** Kinds that waiting GPU work could take. */
+  readonly awaitedKinds: ReadonlySet<string>;
 }
 
 /** The kinds of machines with GPUs that waiting GPU work could take. */
@@ -146,9 +154,8 @@
   cluster: Cluster,
   machine: Machine,
   slot: number,
-  demand: GpuDemand,
-  reservedTypes: ReadonlySet<TypeName>,
-): Omit<PlanMachine, 'servesGpuWork'> {
+  { demand, reservedTypes, awaitedKinds }: GpuClaims,
+): PlanMachine {
   const now = cluster.ctx.now.steady;
   const spare = spareRoom(machine, demand);
   return {
@@ -159,6 +166,7 @@
     ...freeRoom(cluster, machine),
     spareCpus: spare.cpus,
     spareMemGb: spare.memGb,
+    servesGpuWork: awaitedKinds.has(kindKey(machine)) || machine.hasGpuWork(now),
     reservedForGangs: !machine.spot && reservedTypes.has(machine.typeName),
     fetchS: (image, gb) => machine.images.fetchSeconds(image, gb, now),
     largestCachedShare: largestCachedShare(cluster, machine),
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -252,6 +252,23 @@
   assert.equal(tight.starts[0]?.machine, 1);
 });
 
+test('planner: of very many machines those that are not open to a job do not stand in for those that are', () => {
+  const eightCores = type('c8', 8, 0);
+  const fourGpus = type('g4', 24, 4);
+  const unused = Array.from({ length: 500 }, (_, slot) => ({
+    ...machine(slot, 'a', fourGpus, 24),
+    servesGpuWork: false,
+  }));
+  const cores = Array.from({ length: 400 }, (_, i) => machine(500 + i, 'a', eightCores, 8));
+  const job = planJob(0, { tasks: 40, fitsTypesWithoutGpus: true, penaltyFactor: 1 });
+  const plan = planner().plan([...unused, ...cores], [job], [zoneA]);
+  assert.equal(plan.unplaced.size, 0);
+  assert.ok(plan.starts.every((start) => start.machine >= 500));
+  const bound = planJob(0, { tasks: 40, types: ['c8' as TypeName], fitsTypesWithoutGpus: true, penaltyFactor: 0 });
+  const boundPlan = planner().plan([...unused, ...cores], [bound], [zoneA]);
+  assert.equal(boundPlan.unplaced.size, 0);
+});
+
 test('planner: work without GPUs takes of a GPU machine only what GPU work cannot use', () => {
   const fourGpus = type('g4', 24, 4);
   const tight = { ...machine(0, 'a', fourGpus, 24), spareCpus: 3 };
