--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -1,5 +1,6 @@
 import { type CallPriority, CallQueue } from './calls/call_queue.js';
 import { TokenBucket } from './calls/token_bucket.js';
+import { ALL_OFF, type Features } from './features.js';
 import type {
   CallId,
   CloudOp,
@@ -36,6 +37,8 @@
   | 'loadState'
   | 'cancellationNotices'
   | 'servicePlacement'
+  | 'reportBacklog'
+  | 'reconciliation'
   | 'storeQueue'
   | 'cloudQueue';
 
@@ -103,6 +106,7 @@
     readonly settings: Settings,
     readonly tuning: Tuning,
     start: Now,
+    readonly features: Features = ALL_OFF,
   ) {
     this.now = start;
     const { store, cloud } = settings;
--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -25,6 +25,8 @@
   sentInReplyTo: Seq | null;
   readonly since: Steady;
   runningSince: Steady | null;
+  /** It was running when this leader first heard of it: nobody here knows for how long. */
+  readonly foundRunning: boolean;
   stop: { readonly graceS: number; readonly since: Steady } | null;
 }
 
@@ -41,6 +43,15 @@
   /** The term in which its first start was allowed, 0 before. */
   startTerm: number;
   startZone: ZoneName | null;
+  /** Zones in which it may have been started, this leader's starts included; null: any. */
+  startZones: Set<ZoneName> | null = null;
+  private durableZones: ReadonlySet<ZoneName> = new Set();
+  /** While tasks of it may be on machines that have told nothing yet, only those in `located` may be started. */
+  mayRunUnseen = false;
+  /** Tasks that this leader has found on machines: wherever they are now, they are on no other. */
+  readonly located = new Set<number>();
+  /** Tasks that are also on a machine where they don't belong, and on how many. */
+  readonly strays = new Map<number, number>();
   /** What is known to be complete, durable or not. */
   readonly done: RangeSet;
   readonly placements = new Map<number, Placement>();
@@ -100,6 +111,7 @@
     this.durableState = record.state;
     this.durableDone = record.done;
     this.durableStartTerm = record.startTerm;
+    this.onZonesStored(record.startZones);
     if (record.startTerm > 0 && this.startTerm === 0) {
       this.startTerm = record.startTerm;
       this.startZone = record.startZone;
@@ -109,6 +121,36 @@
     if (this.done.count > 0) this.failureHistory.noteSuccess();
   }
 
+  /** The zones of its record are to be believed, and kept up. */
+  restoreZones(zones: readonly ZoneName[] | null): void {
+    this.startZones = zones && new Set(zones);
+    this.durableZones = new Set(zones);
+  }
+
+  /** Its first start is allowed, or one in another zone. `keepsZones`: this leader records the zones. */
+  noteStart(term: number, zone: ZoneName, keepsZones: boolean): void {
+    if (this.startTerm === 0) {
+      this.startTerm = term;
+      this.startZone = zone;
+      this.startZones = keepsZones ? new Set() : null;
+    }
+    this.startZones?.add(zone);
+  }
+
+  /** What a transaction has put on record. */
+  onZonesStored(zones: readonly ZoneName[] | null): void {
+    if (zones !== null) this.durableZones = new Set(zones);
+  }
+
+  /** Whether the store knows that it is started, and that it may be started in the zone. */
+  isStartDurable(zone: ZoneName): boolean {
+    return this.durableStartTerm > 0 && (this.startZones === null || this.durableZones.has(zone));
+  }
+
+  private get hasUnrecordedZone(): boolean {
+    return this.startZones !== null && this.startZones.size > this.durableZones.size;
+  }
+
   /** How many tasks wait for a place; of a gang all or none. */
   get pendingCount(): number {
     if (this.state !== 'accepted') return 0;
@@ -116,10 +158,37 @@
     return this.spec.tasks - this.done.count - this.placements.size;
   }
 
+  /** How many tasks wait for a place and may be given one now. */
+  get startableCount(): number {
+    const pending = this.pendingCount;
+    if (pending === 0 || (!this.mayRunUnseen && this.strays.size === 0)) return pending;
+    if (this.isGang) return 0;
+    if (this.mayRunUnseen) return this.locatedPending;
+    return pending - [...this.strays.keys()].filter((index) => this.isPending(index)).length;
+  }
+
+  private isPending(index: number): boolean {
+    return !this.placements.has(index) && !this.done.has(index);
+  }
+
+  /** How many tasks were found in this term and wait for a place again. */
+  get locatedPending(): number {
+    let count = 0;
+    for (const index of this.located) if (this.isPending(index) && !this.strays.has(index)) count += 1;
+    return count;
+  }
+
+  /** Tasks of which nothing is known in this term: neither done nor found on any machine. */
+  get unaccounted(): number {
+    if (this.isGang && this.done.count > 0) return 0;
+    if (this.isGang) return this.spec.tasks - this.located.size;
+    return this.spec.tasks - this.done.count - this.placements.size - this.locatedPending;
+  }
+
   /** Whether the store lacks something that must be there before anything else can happen. */
   get needsWrite(): 'no' | 'soon' | 'now' {
     if (this.durableState !== 'accepted') return 'no';
-    if (this.state === 'done' || this.startTerm !== this.durableStartTerm) return 'now';
+    if (this.state === 'done' || this.startTerm !== this.durableStartTerm || this.hasUnrecordedZone) return 'now';
     return this.done.count > this.durableDone.count ? 'soon' : 'no';
   }
 
@@ -160,12 +229,21 @@
   pendingTasks(limit: number): number[] {
     const found: number[] = [];
     for (let index = this.firstPossiblyPending; index < this.spec.tasks && found.length < limit; index++) {
-      if (!this.placements.has(index) && !this.done.has(index)) found.push(index);
-      else if (found.length === 0) this.firstPossiblyPending = index + 1;
+      if (this.isStartable(index)) found.push(index);
+      else if (found.length === 0 && !this.isPending(index)) this.noteNotPending(index);
     }
     return found;
   }
 
+  private isStartable(index: number): boolean {
+    if (!this.isPending(index) || this.strays.has(index)) return false;
+    return !this.mayRunUnseen || this.located.has(index);
+  }
+
+  private noteNotPending(index: number): void {
+    if (index === this.firstPossiblyPending) this.firstPossiblyPending = index + 1;
+  }
+
   runningCount(): number {
     let count = 0;
     for (const { phase } of this.placements.values()) if (phase === 'running' || phase === 'saving') count += 1;
--- a/src/core/jobs/job_cache.ts
+++ b/src/core/jobs/job_cache.ts
@@ -31,6 +31,8 @@
  */
 export class JobCache {
   private readonly jobs = new Map<JobId, CachedJob>();
+  /** Jobs on record whose records aren't understood: a later release may have written them. */
+  readonly unreadable = new Set<JobId>();
   /** The revision from which the watch goes on; null: all has to be read first. */
   private watchFrom: Revision | null = null;
   private reading = false;
@@ -164,9 +166,11 @@
     if (known && known.version >= item.version) return known;
     const record = decodeJob(item.value);
     if (!record) {
-      this.ctx.log('error', 'job record not understood', { key: item.key });
+      if (!this.unreadable.has(id)) this.ctx.log('error', 'job record not understood', { key: item.key });
+      this.unreadable.add(id);
       return null;
     }
+    this.unreadable.delete(id);
     const job = { record, version: item.version };
     this.jobs.set(id, job);
     this.onRecord(job);
--- a/src/core/leadership/cluster.ts
+++ b/src/core/leadership/cluster.ts
@@ -1,3 +1,4 @@
+import type { Certainty, ZonesKeptSince } from '../../recovery/index.js';
 import type { Context } from '../context.js';
 import { Estimates } from '../jobs/estimates.js';
 import { Job, type Placement, type PlacementPhase } from '../jobs/job.js';
@@ -8,6 +9,8 @@
 import type { JobRecord } from '../records.js';
 import { Quotas } from '../scheduler/quotas.js';
 import type { Attempt, ImageName, JobId, MachineId, Resources, Revision, Steady } from '../types.js';
+import { dropStrays } from '../workers/stray_tasks.js';
+import { EarlierTerms } from './earlier_terms.js';
 
 const MAX_EARLY_CANCELLATIONS = 10_000;
 /** Least spacing of placements of replicas, and how long one waits for more to place. */
@@ -33,6 +36,9 @@
   readonly machinesWithStops = new Set<Machine>();
   readonly machinesWithStarts = new Set<Machine>();
   readonly quotas: Quotas;
+  readonly earlierTerms: EarlierTerms;
+  /** Jobs whose records this version can't read. */
+  unreadableJobs: ReadonlySet<JobId> = new Set();
   readonly estimates = new Estimates();
   readonly bootTimes = new BootTimes();
   readonly spotInterruptions = new SpotInterruptionRate();
@@ -48,8 +54,10 @@
   constructor(
     readonly ctx: Context,
     readonly term: number,
+    zonesKeptSince: ZonesKeptSince = null,
   ) {
     this.quotas = new Quotas(ctx.settings.teams);
+    this.earlierTerms = new EarlierTerms(this, zonesKeptSince);
   }
 
   /** Higher than any attempt of an earlier term, and than any earlier one of this term. */
@@ -64,7 +72,9 @@
   learnJob(record: JobRecord, version: Revision): void {
     const known = this.jobs.get(record.spec.id);
     if (!known) {
-      this.addJob(new Job(record, version));
+      const job = new Job(record, version);
+      this.earlierTerms.onJobLearned(job, record.startZones);
+      this.addJob(job);
       return;
     }
     const stateBefore = known.state;
@@ -133,18 +143,11 @@
     this.ctx.timers.bringForward('servicePlacement', earliest);
   }
 
-  /**
-   * Whether tasks of the job may be on a machine whose list has yet to come: then nothing of it may be started, here or in
-   * another zone. `unreconciled`: how many such machines there are.
-   */
-  isBlocked(job: Job, unreconciled: number): boolean {
-    return unreconciled > 0 && job.startTerm > 0 && job.startTerm < this.term;
-  }
-
   // ---- placements
 
   place(job: Job, index: number, machine: Machine, attempt: Attempt, phase: PlacementPhase): Placement {
     const now = this.ctx.now.steady;
+    if (phase !== 'planned' && this.earlierTerms.recovery) job.located.add(index);
     const placement: Placement = {
       job,
       index,
@@ -154,6 +157,7 @@
       sentInReplyTo: null,
       since: now,
       runningSince: phase === 'running' ? now : null,
+      foundRunning: phase === 'running',
       stop: null,
     };
     job.placements.set(index, placement);
@@ -166,12 +170,7 @@
   /** The task is proven not to be on the machine (any more). */
   release(placement: Placement): void {
     const { job, machine } = placement;
-    if (job.placements.get(placement.index) !== placement) return;
-    job.placements.delete(placement.index);
-    if (job.placements.size === 0) job.inactiveSince = this.ctx.now.steady;
-    machine.removePlacement(placement, this.ctx.now.steady);
-    this.quotas.add(job.spec, -1);
-    job.noteReleased(placement.index);
+    if (!this.detach(placement)) return;
     if (this.services.has(job) || machine.hasReservation) this.scheduleServicePlacement();
     if (job.isGang && job.state === 'accepted') {
       if (job.placements.size > 0) this.breakGang(job);
@@ -180,7 +179,20 @@
     this.deactivateIfSettled(job);
   }
 
+  /** Takes the place away, whatever that means for the others of its job. Returns whether it was there. */
+  detach(placement: Placement): boolean {
+    const { job, machine, index } = placement;
+    if (job.placements.get(index) !== placement) return false;
+    job.placements.delete(index);
+    if (job.placements.size === 0) job.inactiveSince = this.ctx.now.steady;
+    machine.removePlacement(placement, this.ctx.now.steady);
+    this.quotas.add(job.spec, -1);
+    job.noteReleased(index);
+    return true;
+  }
+
   releaseAll(machine: Machine): void {
+    dropStrays(this, machine);
     for (const placement of [...machine.placements.values()]) this.release(placement);
     machine.exitedTasks = [];
   }
@@ -213,7 +225,12 @@
   stop(placement: Placement, graceS: number): void {
     if (placement.stop && placement.stop.graceS <= graceS) return;
     placement.stop = { graceS, since: this.ctx.now.steady };
-    this.machinesWithStops.add(placement.machine);
+    this.requestStops(placement.machine);
+  }
+
+  /** Stops of tasks on the machine go out directly. */
+  requestStops(machine: Machine): void {
+    this.machinesWithStops.add(machine);
     this.ctx.timers.set('workerCommands', this.ctx.now.steady);
   }
 
@@ -254,27 +271,12 @@
     this.releaseAll(machine);
     this.machines.delete(machine.id);
     this.removedMachines.add(machine.id);
-    this.updateUnreconciled();
+    this.earlierTerms.onCertain(machine, 'gone');
   }
 
-  /** Nothing of an earlier leader can be on the machine any more. */
-  markReconciled(machine: Machine): void {
+  /** Nothing of an earlier leader can be on the machine that isn't known here. */
+  markReconciled(machine: Machine, how: Certainty): void {
     machine.reconciled = true;
-    this.updateUnreconciled();
-  }
-
-  /** Counts the machines that may hold anybody's tasks: they count in full against every limited team. */
-  updateUnreconciled(): number {
-    let count = 0;
-    let cpus = 0;
-    let gpus = 0;
-    for (const { reconciled, type } of this.machines.values()) {
-      if (reconciled) continue;
-      count += 1;
-      cpus += type.cpus;
-      gpus += type.gpus;
-    }
-    this.quotas.unreconciled = { cpus, gpus };
-    return count;
+    this.earlierTerms.onCertain(machine, how);
   }
 }
--- /dev/null
+++ b/src/core/leadership/earlier_terms.ts
@@ -0,0 +1,182 @@
+import {
+  believedZones,
+  type Certainty,
+  type EarlierJob,
+  Recovery,
+  type RecoverySummary,
+  summaryFields,
+  type ZonesKeptSince,
+} from '../../recovery/index.js';
+import type { Context } from '../context.js';
+import type { Job } from '../jobs/job.js';
+import type { Machine } from '../machines/machine.js';
+import type { Quotas } from '../scheduler/quotas.js';
+import type { JobId } from '../types.js';
+import type { Cluster } from './cluster.js';
+import { workerLeaseExpiryMs } from './lease_bounds.js';
+
+/** While machines that no record shows may run anything, limited teams get nothing new. */
+const UNKNOWN_CAPACITY = { cpus: Number.POSITIVE_INFINITY, gpus: Number.POSITIVE_INFINITY };
+
+/** What a leader knows of the work of earlier ones: which jobs must wait, and what counts against teams' limits meanwhile. */
+export class EarlierTerms {
+  /** Null where the feature is off: then every job begun earlier waits until all machines have told their lists. */
+  readonly recovery: Recovery | null;
+  private readonly ctx: Context;
+  private readonly quotas: Quotas;
+  /** Jobs begun in earlier terms of which tasks may be anywhere. */
+  private readonly jobs = new Set<Job>();
+  private unreconciled = 0;
+  private recordsToRead: JobId[] = [];
+
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly zonesKeptSince: ZonesKeptSince,
+  ) {
+    this.ctx = cluster.ctx;
+    this.quotas = cluster.quotas;
+    const init = { term: cluster.term, now: this.ctx.now.steady };
+    this.recovery = this.ctx.features.recovery.enabled ? new Recovery(init) : null;
+  }
+
+  /** Whether the zones in which jobs are started go on record. */
+  get keepsZones(): boolean {
+    return this.zonesKeptSince !== null;
+  }
+
+  // ---- what was stored
+
+  onJobLearned(job: Job, startZones: EarlierJob['startZones']): void {
+    this.recovery?.onRecorded(job.id);
+    job.restoreZones(believedZones(job.startTerm, startZones, this.zonesKeptSince));
+    if (this.isEarlier(job) && job.state !== 'done') this.jobs.add(job);
+  }
+
+  private isEarlier({ startTerm }: Job): boolean {
+    return startTerm > 0 && startTerm < this.cluster.term;
+  }
+
+  onMachineRestored({ id, type, zone, spot }: Machine): void {
+    this.recovery?.addMachine({ id, type: type.name, zone, spot, cpus: type.cpus, gpus: type.gpus });
+  }
+
+  onUnreadablePage(): void {
+    this.recovery?.onUnreadablePage(this.ctx.after(workerLeaseExpiryMs(this.ctx.settings)));
+  }
+
+  onLoaded(unreadableJobs: number): void {
+    for (let i = 0; i < unreadableJobs; i++) this.recovery?.onUnreadableJob();
+    this.recovery?.onLoaded();
+    this.update();
+    this.finishIfCertain();
+  }
+
+  // ---- what becomes certain
+
+  onCertain(machine: Machine, how: Certainty): void {
+    // What counts against teams' limits is reckoned anew before places are given; until then it is rather too much.
+    if (this.recovery) this.recovery.onCertain(machine.id, how);
+    else this.updateUnreconciled();
+    this.finishIfCertain();
+  }
+
+  /** Counts the machines that may hold anybody's tasks, and holds against each limited team what may be its own there. */
+  update(): number {
+    if (this.recovery) this.updateExposure(this.recovery);
+    else this.updateUnreconciled();
+    return this.unreconciled;
+  }
+
+  private updateExposure(recovery: Recovery): void {
+    const before = this.unreconciled;
+    this.unreconciled = recovery.uncertainMachines;
+    if (before === 0 && this.unreconciled === 0 && recovery.isFinished) return;
+    const { steady } = this.ctx.now;
+    this.quotas.unreconciled = recovery.uncertainCapacity(steady) ?? UNKNOWN_CAPACITY;
+    this.quotas.exposure = this.quotas.isAnyLimited ? recovery.teamExposure(this.factsOfJobs(), steady) : null;
+  }
+
+  private *factsOfJobs(): Iterable<EarlierJob> {
+    for (const job of this.jobs) {
+      if (job.unaccounted === 0) this.jobs.delete(job);
+      else yield factsOf(job);
+    }
+  }
+
+  private updateUnreconciled(): void {
+    let count = 0;
+    let cpus = 0;
+    let gpus = 0;
+    for (const { reconciled, type } of this.cluster.machines.values()) {
+      if (reconciled) continue;
+      count += 1;
+      cpus += type.cpus;
+      gpus += type.gpus;
+    }
+    this.unreconciled = count;
+    this.quotas.unreconciled = { cpus, gpus };
+  }
+
+  /** Notes whether tasks of a job may run unseen, and returns how many of it may be given places now. */
+  startable(job: Job): number {
+    job.mayRunUnseen = this.mayRunUnseen(job);
+    return job.startableCount;
+  }
+
+  /** Whether tasks of the job may be on a machine whose list has yet to come. */
+  mayRunUnseen(job: Job): boolean {
+    if (!this.isEarlier(job)) return false;
+    if (!this.recovery) return this.unreconciled > 0;
+    return !this.recovery.isFinished && this.recovery.mayRunUnseen(factsOf(job), this.ctx.now.steady);
+  }
+
+  /** Says once that everything is certain, and what was found. */
+  finishIfCertain(): void {
+    const { recovery } = this;
+    if (!recovery?.finish(this.ctx.now.steady, () => this.countMissing())) return;
+    this.ctx.log('info', 'recovery finished', summaryFields(recovery.summary()));
+    this.update();
+  }
+
+  private countMissing(): number {
+    let missing = 0;
+    for (const job of this.jobs) if (job.state === 'accepted') missing += job.unaccounted;
+    this.jobs.clear();
+    return missing;
+  }
+
+  /** A start goes out. */
+  onStart(): void {
+    this.recovery?.onStart(this.ctx.now.steady);
+  }
+
+  summary(): RecoverySummary | null {
+    return this.recovery?.summary() ?? null;
+  }
+
+  // ---- jobs that nobody recorded
+
+  /** A worker has a task of a job that isn't known: whether there is a record is asked for, once. */
+  suspectOrphan(job: JobId, machine: Machine): void {
+    if (this.recovery?.onUnknownJob(job, machine.id, this.ctx.now.steady)) this.recordsToRead.push(job);
+  }
+
+  takeRecordsToRead(): JobId[] {
+    const jobs = this.recordsToRead;
+    this.recordsToRead = [];
+    return jobs;
+  }
+
+  /** `exists`: whether the store holds a record of the job; null: it didn't say. */
+  onRecordRead(job: JobId, exists: boolean | null): void {
+    if (!this.recovery?.onRecordRead(job, exists)) return;
+    this.ctx.log('error', 'worker runs a task of a job that is not on record: stopping it', { job });
+  }
+}
+
+function factsOf(job: Job): EarlierJob {
+  const { id, team, types, zone, spotOk, cpus, gpus } = job.spec;
+  const startZones = job.startZones && [...job.startZones];
+  const { startTerm, unaccounted } = job;
+  return { id, team, types, zone, spotOk, cpus, gpus, startTerm, startZones, unaccounted };
+}
--- a/src/core/leadership/election.ts
+++ b/src/core/leadership/election.ts
@@ -1,3 +1,4 @@
+import { nextTermValue, type TermValue, type ZonesKeptSince } from '../../recovery/index.js';
 import type { Context } from '../context.js';
 import type { Change, Condition, Result, StoredItem, StoreValue } from '../messages.js';
 import { decodeLeader, LEADER_KEY, type LeaderRecord, TERM_KEY } from '../records.js';
@@ -36,6 +37,8 @@
   readonly token: Token;
   readonly term: number;
   readonly lease: LeaseId;
+  /** Since which term every leader has kept the zones in which jobs were started; null: this one doesn't. */
+  readonly zonesKeptSince: ZonesKeptSince;
 }
 
 export interface ElectionCallbacks {
@@ -45,7 +48,7 @@
 
 /** A lease that was granted for a candidacy, and when it was asked for. */
 interface Candidacy {
-  readonly term: number;
+  readonly term: TermValue;
   readonly lease: LeaseId;
   readonly grantSentAt: Steady;
 }
@@ -191,13 +194,12 @@
     this.ctx.store({ op: 'get', key: TERM_KEY }, PRIORITY, (result) => {
       if (!result.ok) return this.retry(RETRY_MS);
       const item = result.value.item ?? null;
-      const value = item?.value as { n?: unknown } | undefined;
-      const term = Number(value?.n ?? 0) + 1;
-      this.campaign(term, item ? item.version : ABSENT);
+      const { enabled, record_zones } = this.ctx.features.recovery;
+      this.campaign(nextTermValue(item?.value, enabled && record_zones), item ? item.version : ABSENT);
     });
   }
 
-  private campaign(term: number, termVersion: Revision): void {
+  private campaign(term: TermValue, termVersion: Revision): void {
     let grantSentAt = this.ctx.now.steady;
     const onResult = (result: Result<StoreValue>): void => {
       const lease = result.ok ? result.value.lease : undefined;
@@ -222,7 +224,7 @@
     ];
     const changes: Change[] = [
       { put: LEADER_KEY, value: this.leaderRecord(candidacy), lease },
-      { put: TERM_KEY, value: { n: term } },
+      { put: TERM_KEY, value: term },
     ];
     this.ctx.store({ op: 'txn', conditions, changes }, PRIORITY, (result) => {
       if (result.ok && result.value.revision !== undefined) return this.becomeLeader(candidacy, result.value.revision);
@@ -233,7 +235,7 @@
   }
 
   private leaderRecord({ term, lease }: Candidacy): LeaderRecord {
-    return { node: this.ctx.settings.node, incarnation: this.incarnation, lease: String(lease), term };
+    return { node: this.ctx.settings.node, incarnation: this.incarnation, lease: String(lease), term: term.n };
   }
 
   /** The transaction may have been carried out: the key itself tells. */
@@ -254,10 +256,10 @@
     this.renewing = false;
     this.seenRevision = takenAt;
     this.electedAt = this.ctx.now.steady;
-    this.current = { token: takenAt as bigint as Token, term, lease };
+    this.current = { token: takenAt as bigint as Token, term: term.n, lease, zonesKeptSince: term.zones ?? null };
     this.holder = this.leaderRecord(candidacy);
     this.extendValidity(candidacy.grantSentAt);
-    this.ctx.log('info', 'took the lead', { token: takenAt, term });
+    this.ctx.log('info', 'took the lead', { token: takenAt, term: term.n });
     this.scheduleRenewal(this.ttlMs / RENEWALS_A_LEASE);
     this.callbacks.onElected(this.current);
   }
--- a/src/core/leadership/leader.ts
+++ b/src/core/leadership/leader.ts
@@ -1,3 +1,4 @@
+import type { RecoverySummary } from '../../recovery/index.js';
 import type { Context, TimerName } from '../context.js';
 import type { CachedJob, JobCache } from '../jobs/job_cache.js';
 import { Autoscaler } from '../machines/autoscaler.js';
@@ -6,13 +7,13 @@
 import { Machine } from '../machines/machine.js';
 import { Registry } from '../machines/registry.js';
 import type { StoredItem } from '../messages.js';
-import type { MachineRecord } from '../records.js';
+import { jobKey, type MachineRecord } from '../records.js';
 import type { TaskCounts } from '../requests/job_reader.js';
 import { migrateToCachedImages } from '../scheduler/migration.js';
 import { preempt } from '../scheduler/preemption.js';
 import { scheduleRound } from '../scheduler/round.js';
 import { placeServices } from '../scheduler/services.js';
-import type { JobId, Steady, WorkerReport } from '../types.js';
+import type { JobId, MachineId, Steady, WorkerReport } from '../types.js';
 import { CommandSender } from '../workers/command_sender.js';
 import { Reconciliation } from '../workers/reconciliation.js';
 import { ReportHandler, type ReportReply } from '../workers/report_handler.js';
@@ -32,6 +33,9 @@
 /** A start is based on a view of jobs that is at most so old: a cancellation may be on record since. */
 const START_VIEW_MS = 4000;
 
+/** Of reads that only workers' tasks wait for. */
+const RECORD_READ_PRIORITY = 2;
+
 const OWN_TIMERS: readonly TimerName[] = [
   'round',
   'recordFlush',
@@ -40,6 +44,8 @@
   'workerCommands',
   'loadState',
   'servicePlacement',
+  'reportBacklog',
+  'reconciliation',
 ];
 
 /** What the leader's parts ask of it. */
@@ -56,6 +62,8 @@
   writesInFlight(): boolean;
   registerMachine(machine: Machine): void;
   scheduleRoundSoon(): void;
+  /** Jobs that workers report and that aren't known are looked up. */
+  readSuspectedOrphans(): void;
 }
 
 /**
@@ -89,7 +97,8 @@
     private readonly seed: number,
   ) {
     this.leadingSince = ctx.now.steady;
-    this.cluster = new Cluster(ctx, leadership.term);
+    this.cluster = new Cluster(ctx, leadership.term, leadership.zonesKeptSince);
+    this.cluster.unreadableJobs = jobCache.unreadable;
     this.cluster.types = types;
     this.registry = new Registry(ctx.settings.store.valueBytes);
     this.recordWriter = new RecordWriter(this.cluster, leadership, this.registry, {
@@ -180,19 +189,24 @@
     for (const job of this.jobCache.all()) this.cluster.learnJob(job.record, job.version);
     for (const item of pages) {
       const page = this.registry.load(item);
-      if (!page.complete) this.ctx.log('error', 'registry page not understood: left as it is', { key: item.key });
+      if (!page.complete) this.onUnreadablePage(item.key);
       for (const record of page.machines) this.restoreMachine(record, item.key);
     }
     this.registry.spreadAll();
     this.loaded = true;
     this.ctx.log('info', 'state read', { jobs: this.jobCache.size, machines: this.machineCount });
-    this.cluster.updateUnreconciled();
+    this.cluster.earlierTerms.onLoaded(this.jobCache.unreadable.size);
     this.autoscaler.listMachines();
-    this.reconciliation.reconcileAll();
+    this.ctx.timers.set('reconciliation', this.ctx.after(this.ctx.features.recovery.ask_after_ms));
     this.ctx.timers.set('round', this.ctx.after(FIRST_ROUND_MS));
     this.ctx.timers.set('healthChecks', this.ctx.after(FIRST_HEALTH_CHECK_MS));
   }
 
+  private onUnreadablePage(key: string): void {
+    this.ctx.log('error', 'registry page not understood: left as it is', { key });
+    this.cluster.earlierTerms.onUnreadablePage();
+  }
+
   private restoreMachine(record: MachineRecord, key: string): void {
     if (this.cluster.machines.has(record.id)) {
       this.registry.rewriteWithoutDuplicates(key);
@@ -211,8 +225,15 @@
     const phase = addr === '' ? 'booting' : 'up';
     const machine = new Machine({ id, type, zone, spot, addr, reconciled: false, phase, now });
     machine.images.restore(record.images, record.fetchSpeed, this.cluster.imageGb, now);
+    if (this.cluster.earlierTerms.recovery) machine.leaseRenewedAt = this.lastRenewalOf(id);
     this.cluster.machines.set(id, machine);
     this.registry.restore(machine, key);
+    this.cluster.earlierTerms.onMachineRestored(machine);
+  }
+
+  /** Earlier leaders answered nobody after this one took the lead; it has itself answered some while it read the state. */
+  private lastRenewalOf(machine: MachineId): Steady {
+    return this.reportHandler.renewedWhileLoading.lastOf(machine, this.leadingSince);
   }
 
   /** The cache has a newer record of a job: a submission, a cancellation, or what this leader wrote itself. */
@@ -239,6 +260,32 @@
     this.reportHandler.releaseHeld();
   }
 
+  takeBacklog(): void {
+    this.reportHandler.takeBacklog();
+  }
+
+  reconcileSilentMachines(): void {
+    if (this.isLeaseValid()) this.reconciliation.reconcileAll();
+  }
+
+  /** Whether jobs that only workers know of are on record. */
+  readSuspectedOrphans(): void {
+    for (const id of this.cluster.earlierTerms.takeRecordsToRead()) this.readJobRecord(id);
+  }
+
+  private readJobRecord(id: JobId): void {
+    this.ctx.store({ op: 'get', key: jobKey(id) }, RECORD_READ_PRIORITY, (result) => {
+      if (this.stopped) return;
+      const item = result.ok ? (result.value.item ?? null) : null;
+      if (item) this.jobCache.update(item);
+      this.cluster.earlierTerms.onRecordRead(id, result.ok ? item !== null : null);
+    });
+  }
+
+  recoverySummary(): RecoverySummary | null {
+    return this.cluster.earlierTerms.summary();
+  }
+
   sendCommands(): void {
     this.commandSender.send();
   }
@@ -284,6 +331,7 @@
     }
     if (!this.loaded) return;
     this.healthChecks.run();
+    this.cluster.earlierTerms.finishIfCertain();
     this.reconciliation.probe();
     this.autoscaler.returnMachines(this.leadingSince);
     this.registry.collectHints();
--- a/src/core/leadership/record_writer.ts
+++ b/src/core/leadership/record_writer.ts
@@ -5,7 +5,7 @@
 import type { Page, Registry } from '../machines/registry.js';
 import type { Change, Condition, Result, StoredItem, StoreValue } from '../messages.js';
 import { encodeJob, type JobState, jobKey, pageKey } from '../records.js';
-import { ABSENT, type Revision, type Steady } from '../types.js';
+import { ABSENT, type Revision, type Steady, type ZoneName } from '../types.js';
 import type { Cluster } from './cluster.js';
 import { type Leadership, leaderCondition } from './election.js';
 
@@ -33,6 +33,7 @@
   readonly job: Job;
   readonly state: JobState;
   readonly startTerm: number;
+  readonly startZones: readonly ZoneName[] | null;
   readonly done: [number, number][];
 }
 
@@ -162,9 +163,10 @@
     job.writeInFlight = true;
     job.lastWriteAt = now;
     const { spec, submittedAt, state, startTerm, startZone, done } = job;
-    const value = encodeJob({ spec, submittedAt, state, startTerm, startZone, done }, this.valueBytes);
+    const startZones = job.startZones && [...job.startZones];
+    const value = encodeJob({ spec, submittedAt, state, startTerm, startZone, startZones, done }, this.valueBytes);
     batch.bytes += JOB_RECORD_BYTES + value.done.length * DONE_RANGE_BYTES;
-    batch.jobs.push({ job, state, startTerm, done: value.done });
+    batch.jobs.push({ job, state, startTerm, startZones, done: value.done });
     batch.conditions.push({ key: jobKey(job.id), version: job.version });
     batch.changes.push({ put: jobKey(job.id), value });
   }
@@ -191,11 +193,12 @@
     }
   }
 
-  private onJobWritten({ job, state, startTerm, done }: JobSnapshot, version: Revision): void {
+  private onJobWritten({ job, state, startTerm, startZones, done }: JobSnapshot, version: Revision): void {
     if (version > job.version) {
       job.version = version;
       job.durableState = state;
       job.durableStartTerm = startTerm;
+      job.onZonesStored(startZones);
       job.durableDone = RangeSet.from(done);
     }
     this.cluster.deactivateIfSettled(job);
--- a/src/core/machines/health_checks.ts
+++ b/src/core/machines/health_checks.ts
@@ -44,21 +44,24 @@
       if (machine.phase === 'booting' && machine.reconciled) continue;
       if (machine.phase === 'up' && machine.isSilent(now, settings.workers.reportMs))
         this.cluster.releasePlanned(machine);
-      const mayHoldTasks = !machine.reconciled || machine.placements.size > 0;
+      const mayHoldTasks = !machine.reconciled || !machine.isEmpty;
       if (mayHoldTasks && now - machine.leaseRenewedAt > leaseExpiryMs) this.onLeaseExpired(machine);
     }
   }
 
   /**
-   * An earlier leader may have started only a part of a gang. Once every machine's list is known, the rest is certain not to
-   * be anywhere, and that part would wait in vain (gang-half-placed.txt).
+   * An earlier leader may have started only a part of a gang. Once the lists of all machines that may hold the rest are known,
+   * it is certain not to be anywhere, and that part would wait in vain (gang-half-placed.txt).
    */
   private breakIncompleteGangs(): void {
-    if (this.cluster.updateUnreconciled() > 0) return;
+    const { earlierTerms } = this.cluster;
+    const unreconciled = earlierTerms.update();
+    if (unreconciled > 0 && earlierTerms.recovery === null) return;
     for (const job of this.cluster.activeJobs) {
       const { size } = job.placements;
       const isIncomplete = job.isGang && size > 0 && size < job.spec.tasks;
-      if (isIncomplete && job.state === 'accepted') this.cluster.breakGang(job);
+      if (!isIncomplete || job.state !== 'accepted' || earlierTerms.mayRunUnseen(job)) continue;
+      this.cluster.breakGang(job);
     }
   }
 
@@ -108,7 +111,7 @@
       machine.lastReportSeq = null;
     }
     machine.unconfirmedStarts.clear();
-    this.cluster.markReconciled(machine);
+    this.cluster.markReconciled(machine, 'leaseEnded');
     this.scheduleRoundSoon();
   }
 
--- a/src/core/machines/machine.ts
+++ b/src/core/machines/machine.ts
@@ -1,5 +1,5 @@
 import { AMOUNT_TOLERANCE } from '../amounts.js';
-import type { Placement } from '../jobs/job.js';
+import type { Job, Placement } from '../jobs/job.js';
 import type {
   Attempt,
   JobId,
@@ -33,6 +33,17 @@
   readonly done: boolean;
 }
 
+/** A task on a machine that has no place there. */
+export interface StrayTask {
+  readonly job: JobId;
+  readonly index: number;
+  readonly attempt: Attempt;
+  /** Whether it is to be stopped; otherwise it is left alone until more is known. */
+  readonly stop: boolean;
+  /** Null where the job isn't known. */
+  readonly owner: Job | null;
+}
+
 /** Why a machine gets no new work and is returned once it is empty. */
 export type DrainReason =
   | 'idle'
@@ -53,6 +64,8 @@
   readonly addr: string;
   readonly reconciled: boolean;
   readonly phase: 'booting' | 'up';
+  /** What this leader rented itself can't be a late copy of something gone. A list may well show what is (listed-but-gone.txt). */
+  readonly rentedHere?: boolean;
   readonly now: Steady;
 }
 
@@ -100,7 +113,7 @@
 
   rentedAt: Steady;
   /** Rented by this leader: when it comes up tells how long boots take. */
-  rentedHere = false;
+  readonly rentedHere: boolean;
   /** It was noted that it did not come up in time. */
   overdueNoted = false;
   idleSince: Steady;
@@ -125,7 +138,11 @@
   /** Kept for a moment for a job that is on its way here. */
   private reservation: { readonly job: JobId; readonly until: Steady } | null = null;
   readonly placements = new Map<TaskKey, Placement>();
+  /** Tasks on it that have no place there: their jobs aren't known, or they are somewhere else too. */
+  strays: ReadonlyMap<TaskKey, StrayTask> = new Map();
   exitedTasks: ExitedTask[] = [];
+  /** The ends that the list before this one showed. */
+  endsBefore: ReadonlySet<StartKey> = new Set();
   readonly images: ImageCache;
   usedCpus = 0;
   usedGpus = 0;
@@ -140,8 +157,8 @@
     this.addr = init.addr;
     this.phase = init.phase;
     this.reconciled = init.reconciled;
-    // What this leader rented itself can't be a late copy of something gone.
-    this.confirmed = init.reconciled && init.phase === 'booting';
+    this.rentedHere = init.rentedHere ?? false;
+    this.confirmed = this.rentedHere;
     this.images = new ImageCache(init.type);
     this.lastSeenAt = now;
     this.leaseRenewedAt = now;
@@ -180,6 +197,7 @@
       this.confirmed &&
       this.unresponsiveSince === null &&
       this.draining === null &&
+      this.strays.size === 0 &&
       this.interruptionAt === null &&
       !this.deletionInFlight &&
       this.suspectUntil <= now
@@ -209,6 +227,11 @@
     );
   }
 
+  /** Whether no task is on it, or on its way, as far as is known. */
+  get isEmpty(): boolean {
+    return this.placements.size === 0 && this.strays.size === 0;
+  }
+
   /** Whether work that asks for GPUs is there, or the machine is kept for some. */
   hasGpuWork(now: Steady): boolean {
     if (this.reservedFor(now) !== null) return true;
--- a/src/core/machines/machine_list.ts
+++ b/src/core/machines/machine_list.ts
@@ -84,7 +84,7 @@
   private onStopped(machine: Machine): void {
     this.cluster.ctx.log('info', 'machine failed', { machine: machine.id, tasks: machine.placements.size });
     this.cluster.releaseAll(machine);
-    this.cluster.markReconciled(machine);
+    this.cluster.markReconciled(machine, 'gone');
     this.onFailed(machine);
   }
 }
--- a/src/core/machines/machine_returns.ts
+++ b/src/core/machines/machine_returns.ts
@@ -74,7 +74,7 @@
   }
 
   private reasonToReturn(machine: Machine, overview: Overview): DrainReason | null {
-    const isEmpty = machine.placements.size === 0;
+    const { isEmpty } = machine;
     if (machine.draining !== null) return isEmpty || machine.deletionRequested ? machine.draining : null;
     if (machine.interruptionAt !== null && isEmpty) return 'taken by the cloud';
     if (machine.phase === 'booting') return this.neverBoots(machine, overview.now) ? 'never came up' : null;
@@ -96,7 +96,7 @@
   /** Where the machine stands idle and no guarantee needs it; takes it off what is to spare. */
   private idleReason(machine: Machine, missing: Capacity): DrainReason | null {
     if (machine.draining !== null || machine.phase === 'booting') return null;
-    if (machine.placements.size > 0 || keepsResults(machine) || !this.isIdle(machine)) return null;
+    if (!machine.isEmpty || keepsResults(machine) || !this.isIdle(machine)) return null;
     const { cpus, gpus } = machine.type;
     const neededForGuarantees =
       missing.gpus >= GUARANTEE_TOLERANCE - gpus || missing.cpus >= GUARANTEE_TOLERANCE - cpus;
--- a/src/core/machines/rentals.ts
+++ b/src/core/machines/rentals.ts
@@ -88,8 +88,8 @@
     this.cluster.ctx.log('info', 'rented', { type: type.name, zone, spot, asked: count, got: ids.length });
     for (const id of ids) {
       if (this.cluster.machines.has(id) || this.cluster.removedMachines.has(id)) continue;
-      const machine = new Machine({ id, type, zone, spot, addr: '', reconciled: true, phase: 'booting', now: since });
-      machine.rentedHere = true;
+      const known = { id, type, zone, spot, addr: '', reconciled: true, phase: 'booting', rentedHere: true } as const;
+      const machine = new Machine({ ...known, now: since });
       this.cluster.machines.set(id, machine);
       this.register(machine);
     }
--- a/src/core/node.ts
+++ b/src/core/node.ts
@@ -1,4 +1,6 @@
+import type { RecoverySummary } from '../recovery/index.js';
 import { Context, type TimerName } from './context.js';
+import { ALL_OFF, type Features } from './features.js';
 import { JobCache } from './jobs/job_cache.js';
 import { Election } from './leadership/election.js';
 import { Leader } from './leadership/leader.js';
@@ -42,6 +44,8 @@
   private readonly statusExchange: StatusExchange;
   /** While this node leads. */
   private leader: Leader | null = null;
+  /** Of the last time that it led. */
+  private lastRecovery: RecoverySummary | null = null;
 
   /** `incarnation` names this process; `seed` is what all of its random choices come from. */
   constructor(
@@ -50,8 +54,9 @@
     incarnation: string,
     private readonly seed: number,
     start: Now,
+    features: Features = ALL_OFF,
   ) {
-    const ctx = new Context(settings, tuning, start);
+    const ctx = new Context(settings, tuning, start, features);
     const ids = new MessageIds(seed);
     this.ctx = ctx;
     this.peers = new PeerTable(ctx);
@@ -75,6 +80,7 @@
         this.catalog.refresh();
       },
       onLost: () => {
+        this.lastRecovery = this.recoverySummary();
         this.leader?.stop();
         this.leader = null;
         this.setLeading(false);
@@ -122,6 +128,11 @@
     return this.peers.anyAlive(now);
   }
 
+  /** What this node found when it last took the lead; null: it never did, or the feature is off. */
+  recoverySummary(): RecoverySummary | null {
+    return this.leader?.recoverySummary() ?? this.lastRecovery;
+  }
+
   private start(): void {
     this.election.start();
     this.catalog.read();
@@ -195,6 +206,12 @@
       case 'servicePlacement':
         this.leader?.placeServices();
         return;
+      case 'reportBacklog':
+        this.leader?.takeBacklog();
+        return;
+      case 'reconciliation':
+        this.leader?.reconcileSilentMachines();
+        return;
       case 'recordFlush':
         this.leader?.flushRecords();
         return;
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -27,6 +27,8 @@
   /** The term in which its first start was allowed, 0 before. */
   readonly startTerm: number;
   readonly startZone: ZoneName | null;
+  /** Zones in which it may have been started (src/recovery/start_zones.ts); null: not kept. */
+  readonly startZones: readonly ZoneName[] | null;
   /** Numbers of the tasks that are complete. */
   readonly done: RangeSet;
 }
@@ -65,8 +67,9 @@
 
 /** A job's record in `valueBytes` at most: results that find no room in it stay with the workers that have them. */
 export function encodeJob(record: JobRecord, valueBytes: number): StoredFields & { done: [number, number][] } {
-  const { spec, submittedAt: at, state, startTerm: term, startZone: zone, done } = record;
-  const value = { v: JOB_RECORD_VERSION, spec, at, state, term, zone, done: [] as [number, number][] };
+  const { spec, submittedAt: at, state, startTerm: term, startZone: zone, startZones: zones, done } = record;
+  const kept = zones === null ? {} : { zones };
+  const value = { v: JOB_RECORD_VERSION, spec, at, state, term, zone, ...kept, done: [] as [number, number][] };
   if (done.count === 0) return value;
   const bytesLeft = valueBytes - SPARE_BYTES - Buffer.byteLength(JSON.stringify(value));
   return { ...value, done: done.pairs(bytesLeft) };
@@ -87,10 +90,16 @@
     state: isService && state === 'done' ? 'accepted' : state,
     startTerm: Number(value.term),
     startZone: (value.zone ?? null) as ZoneName | null,
+    startZones: decodeZones(value.zones),
     done: isService ? new RangeSet() : RangeSet.from(value.done as [number, number][]),
   };
 }
 
+function decodeZones(value: unknown): readonly ZoneName[] | null {
+  const isList = Array.isArray(value) && value.every((zone) => typeof zone === 'string');
+  return isList ? (value as ZoneName[]) : null;
+}
+
 /** A page of the registry: each machine as a short list, since a page holds many; with so many images at most. */
 export function encodePage(machines: readonly MachineRecord[], maxImages: number): StoredFields {
   return { v: PAGE_VERSION, machines: machines.map((record) => encodeMachine(record, maxImages)) };
--- a/src/core/requests/request_handler.ts
+++ b/src/core/requests/request_handler.ts
@@ -159,7 +159,15 @@
 
   private newRecord(spec: JobSpec): JobRecord {
     const submittedAt = this.ctx.now.wall;
-    return { spec, submittedAt, state: 'accepted', startTerm: 0, startZone: null, done: new RangeSet() };
+    return {
+      spec,
+      submittedAt,
+      state: 'accepted',
+      startTerm: 0,
+      startZone: null,
+      startZones: null,
+      done: new RangeSet(),
+    };
   }
 
   /** Tried first on the cached record: the condition on its version shows whether that is the present one. */
--- a/src/core/scheduler/hosting.ts
+++ b/src/core/scheduler/hosting.ts
@@ -62,7 +62,5 @@
 /** Gives the task its place: its start goes out once the job's first start is on record. */
 export function placeTask(cluster: Cluster, job: Job, index: number, machine: Machine, attempt: Attempt): void {
   cluster.place(job, index, machine, attempt, 'planned');
-  if (job.startTerm !== 0) return;
-  job.startTerm = cluster.term;
-  job.startZone = machine.zone;
+  job.noteStart(cluster.term, machine.zone, cluster.earlierTerms.keepsZones);
 }
--- a/src/core/scheduler/quotas.ts
+++ b/src/core/scheduler/quotas.ts
@@ -1,3 +1,4 @@
+import type { TeamExposure } from '../../recovery/index.js';
 import type { JobSpec, Team, TeamName } from '../types.js';
 
 /** Sums of decimal amounts differ from what they should be by less than this. */
@@ -9,12 +10,16 @@
   gpus: number;
 }
 
+const NOTHING: Use = { cpus: 0, gpus: 0 };
+
 /** What each team may have on machines: everything sent, fetching, running or saving counts until proven gone. */
 export class Quotas {
   private readonly teams = new Map<TeamName, Team>();
   private readonly use = new Map<TeamName, Use>();
   /** Capacity of machines that may hold anybody's tasks: it counts against every limited team. */
   unreconciled: Use = { cpus: 0, gpus: 0 };
+  /** Of that, what each team's tasks may take at most; null: all of it. */
+  exposure: TeamExposure | null = null;
 
   constructor(teams: readonly Team[]) {
     for (const team of teams) {
@@ -40,11 +45,18 @@
     const team = this.teams.get(spec.team);
     const use = this.use.get(spec.team);
     if (!team || !use) return 0;
+    const unseen = this.exposure === null ? this.unreconciled : (this.exposure.get(spec.team) ?? NOTHING);
     return Math.min(
-      roomFor(team.cpusMax, use.cpus + this.unreconciled.cpus, spec.cpus),
-      roomFor(team.gpusMax, use.gpus + this.unreconciled.gpus, spec.gpus),
+      roomFor(team.cpusMax, use.cpus + unseen.cpus, spec.cpus),
+      roomFor(team.gpusMax, use.gpus + unseen.gpus, spec.gpus),
     );
   }
+
+  /** Whether any team has a limit. */
+  get isAnyLimited(): boolean {
+    for (const { cpusMax, gpusMax } of this.teams.values()) if (cpusMax > 0 || gpusMax > 0) return true;
+    return false;
+  }
 }
 
 /** Whether a job could ever run within its team's limit: one task of an array, all tasks of anything else. */
--- a/src/core/scheduler/ranking.ts
+++ b/src/core/scheduler/ranking.ts
@@ -98,16 +98,16 @@
 }
 
 /** Whether a job waits for a start that may happen now, as far as it and other leaders' machines go. */
-function mayStartNow(cluster: Cluster, job: Job, unreconciled: number): boolean {
+function mayStartNow(cluster: Cluster, job: Job): boolean {
   // Services have been placed before, by best fit outside the search (services.ts).
   if (job.isService || job.pendingCount <= 0 || job.notBefore > cluster.ctx.now.steady) return false;
-  return !cluster.isBlocked(job, unreconciled);
+  return cluster.earlierTerms.startable(job) > 0;
 }
 
 /** How many of the job's waiting tasks its team's limit allows now; of a gang all or none. */
 function tasksWithinLimit(cluster: Cluster, job: Job): number {
   const maxTasks = Math.max(MIN_TASKS_PLANNED, TASKS_PLANNED_PER_MACHINE * cluster.machines.size);
-  const pending = Math.min(job.pendingCount, maxTasks);
+  const pending = Math.min(job.startableCount, maxTasks);
   const room = cluster.quotas.room(job.spec);
   // A job that fails wherever it runs is tried with one task at a time.
   if (job.isFaulty && !job.isGang) return job.placements.size === 0 ? Math.min(pending, room, 1) : 0;
@@ -134,13 +134,13 @@
  * largest wait for as long as smaller work keeps coming: a job that has waited too long goes before all others until it
  * has begun. Jobs of a team at its limit sit the round out.
  */
-export function rankWaitingJobs(cluster: Cluster, unreconciled: number): RankedJob[] {
+export function rankWaitingJobs(cluster: Cluster): RankedJob[] {
   const guaranteed = teamsWithinGuarantee(cluster);
   /** Teams whose limit is kept free for an overdue gang: small work would fill it as fast as it comes free. */
   const heldTeams = new Set<TeamName>();
   const ranked: RankedJob[] = [];
   for (const job of cluster.activeJobs) {
-    if (!mayStartNow(cluster, job, unreconciled)) continue;
+    if (!mayStartNow(cluster, job)) continue;
     const waiting = tasksWithinLimit(cluster, job);
     if (waiting > 0) ranked.push(rankJob(cluster, job, waiting, guaranteed));
     else if (job.isGang && isOverdue(cluster, job)) heldTeams.add(job.spec.team);
--- a/src/core/scheduler/round.ts
+++ b/src/core/scheduler/round.ts
@@ -43,8 +43,8 @@
 /** One planning round: rank, search zones, plan, and give places to what can start now. */
 export function scheduleRound(cluster: Cluster, seed: number): RoundResult {
   const tuning = cluster.ctx.tuning.scheduler;
-  const unreconciled = cluster.updateUnreconciled();
-  const ranked = rankWaitingJobs(cluster, unreconciled);
+  cluster.earlierTerms.update();
+  const ranked = rankWaitingJobs(cluster);
   const input = new PlanInput(cluster, ranked);
   for (const job of ranked.slice(0, tuning.jobs_planned + MAX_FILL_JOBS)) input.add(job);
   const { planMachines, machines, jobs, planJobs } = input;
@@ -54,7 +54,7 @@
   const planner = makePlanner(tuning);
   const { plan, capacity } = searchZones(planner, planMachines, plannedInFull, tuning, seed);
   const filled = others.length > 0 ? planner.fillNow(plan, others, tuning.plan_steps) : [];
-  const capacityWithServices = addWaitingReplicas(cluster, input, capacity, unreconciled);
+  const capacityWithServices = addWaitingReplicas(cluster, input, capacity);
   const started = applyPlan(cluster, [...plan.starts, ...filled], jobs, machines);
   reserveForOverdueGangs(cluster, plan.starts, jobs, machines);
   cluster.ctx.log('debug', 'round', {
@@ -132,13 +132,13 @@
 }
 
 /** Replicas that found no place are work that lacks machines, unless some that are on their way will take them. */
-function addWaitingReplicas(cluster: Cluster, input: PlanInput, plan: Plan, unreconciled: number): Plan {
-  const waiting = waitingServices(cluster, unreconciled);
+function addWaitingReplicas(cluster: Cluster, input: PlanInput, plan: Plan): Plan {
+  const waiting = waitingServices(cluster);
   if (waiting.length === 0) return plan;
   const unplaced = new Map(plan.unplaced);
   const coming = [...cluster.machines.values()].filter((machine) => cluster.isExpected(machine)).map(emptyRoom);
   for (const job of waiting) {
-    const tasks = withoutPlaceOn(coming, job, Math.min(job.pendingCount, cluster.quotas.room(job.spec)));
+    const tasks = withoutPlaceOn(coming, job, Math.min(job.startableCount, cluster.quotas.room(job.spec)));
     if (tasks <= 0) continue;
     const slot = input.add({ job, tasks, waitedS: waitedS(cluster, job) });
     if (slot !== null) unplaced.set(slot, tasks);
--- a/src/core/scheduler/services.ts
+++ b/src/core/scheduler/services.ts
@@ -30,10 +30,10 @@
 type ZoneRoom = Map<ZoneName, number> | null;
 
 /** Services with replicas that wait for a place, those of higher priority first, then those that came first. */
-export function waitingServices(cluster: Cluster, unreconciled: number): Job[] {
+export function waitingServices(cluster: Cluster): Job[] {
   const now = cluster.ctx.now.steady;
   const waiting = [...cluster.services].filter(
-    (job) => job.pendingCount > 0 && job.notBefore <= now && !cluster.isBlocked(job, unreconciled),
+    (job) => job.notBefore <= now && cluster.earlierTerms.startable(job) > 0,
   );
   return waiting.sort((a, b) => b.spec.rank - a.spec.rank || a.submittedAt - b.submittedAt || (a.id < b.id ? -1 : 1));
 }
@@ -46,15 +46,15 @@
  */
 export function placeServices(cluster: Cluster): number {
   if (!cluster.hasPendingReplicas()) return 0;
-  const unreconciled = cluster.updateUnreconciled();
+  cluster.earlierTerms.update();
   let placed = 0;
   let stoppedFor = 0;
-  for (const job of waitingServices(cluster, unreconciled)) {
+  for (const job of waitingServices(cluster)) {
     const zoneRoom = roomByZone(cluster, job);
     job.replicaPendingSince ??= cluster.ctx.now.steady;
     placed += placeReplicas(cluster, job, zoneRoom);
     if (job.pendingCount === 0) job.replicaPendingSince = null;
-    while (job.pendingCount > 0 && stoppedFor < MAX_STOPPED_FOR && makeRoom(cluster, job, zoneRoom)) stoppedFor += 1;
+    while (job.startableCount > 0 && stoppedFor < MAX_STOPPED_FOR && makeRoom(cluster, job, zoneRoom)) stoppedFor += 1;
   }
   return placed;
 }
@@ -153,7 +153,7 @@
 /** Stops lower arrays on the machine where least is lost; the replica follows when they are gone. */
 function makeRoom(cluster: Cluster, job: Job, zoneRoom: ZoneRoom): boolean {
   if (job.spec.rank === 0 || cluster.quotas.room(job.spec) < 1) return false;
-  if (reservedMachines(cluster, job) >= job.pendingCount) return false;
+  if (reservedMachines(cluster, job) >= job.startableCount) return false;
   const option = cheapestEviction(cluster, job, zoneRoom);
   if (!option) return false;
   const { machine } = option;
--- a/src/core/workers/command_sender.ts
+++ b/src/core/workers/command_sender.ts
@@ -84,6 +84,7 @@
   }
 
   private start(placement: Placement): Command {
+    this.cluster.earlierTerms.onStart();
     placement.phase = 'sent';
     placement.sentInReplyTo = null;
     placement.machine.unconfirmedStarts.add(startKeyOf(placement));
--- a/src/core/workers/commands.ts
+++ b/src/core/workers/commands.ts
@@ -2,6 +2,7 @@
 import type { Cluster } from '../leadership/cluster.js';
 import { type Machine, startKey } from '../machines/machine.js';
 import type { Command } from '../types.js';
+import { mayForgetUnknown } from './recovered_tasks.js';
 
 /** An answer has 64 KiB at most. */
 const MAX_COMMANDS = 400;
@@ -24,7 +25,8 @@
     // Once forgotten, a start of the same attempt that is still on its way would run it again.
     if (machine.unconfirmedStarts.has(startKey(id, index, attempt))) continue;
     const job = cluster.jobs.get(id);
-    if (!done || !job || job.isResultDurable(index)) commands.push({ op: 'forget', job: id, index, attempt });
+    const mayForget = job ? !done || job.isResultDurable(index) : mayForgetUnknown(cluster, id);
+    if (mayForget) commands.push({ op: 'forget', job: id, index, attempt });
   }
   return commands;
 }
@@ -37,5 +39,8 @@
     if (stop === null || phase === 'planned' || !isDue(placement)) continue;
     commands.push({ op: 'stop', job: job.id, index, attempt, graceS: stop.graceS });
   }
+  for (const { job, index, attempt, stop } of machine.strays.values()) {
+    if (stop) commands.push({ op: 'stop', job, index, attempt, graceS: 0 });
+  }
   return commands;
 }
--- a/src/core/workers/reconciliation.ts
+++ b/src/core/workers/reconciliation.ts
@@ -43,16 +43,21 @@
   /** Asks every registered machine for its list. A few at a time: their own reports raise most tokens meanwhile. */
   reconcileAll(): void {
     for (const machine of this.cluster.machines.values()) {
-      if (!machine.reconciled && machine.addr) this.waiting.push(machine);
+      if (!machine.reconciled && machine.addr && !this.willTell(machine)) this.waiting.push(machine);
     }
     this.reconcileNext();
   }
 
+  /** One that has reported to this leader shows its token with the next report, and needs no question. */
+  private willTell(machine: Machine): boolean {
+    return this.cluster.earlierTerms.recovery !== null && machine.firstReportAt !== null;
+  }
+
   private reconcileNext(): void {
     while (this.inFlight < MAX_CONCURRENT) {
       const machine = this.waiting.shift();
       if (!machine) return;
-      if (machine.reconciled || !this.cluster.isKnown(machine)) continue;
+      if (machine.reconciled || !this.cluster.isKnown(machine) || this.willTell(machine)) continue;
       this.inFlight += 1;
       this.ask(machine, FIRST_SESSION, MAX_TRIES, () => {
         this.inFlight -= 1;
@@ -100,6 +105,7 @@
     const freed = applyReport(this.cluster, machine, report, this.token, source);
     if (source === 'commandAnswer') machine.lastSeenAt = this.ctx.now.steady;
     if (freed) this.leader.scheduleRoundSoon();
+    this.leader.readSuspectedOrphans();
     const ignores = machine.ignoredAnswers >= UNRESPONSIVE_AFTER_IGNORED;
     if (ignores && machine.unresponsiveSince === null) this.markUnresponsive(machine);
     return freed;
--- /dev/null
+++ b/src/core/workers/recovered_tasks.ts
@@ -0,0 +1,139 @@
+import { type Classification, classify, type OtherPlace, type StoredJob } from '../../recovery/index.js';
+import type { Job, Placement } from '../jobs/job.js';
+import type { Cluster } from '../leadership/cluster.js';
+import { type Machine, type StartKey, type StrayTask, startKey, taskKey } from '../machines/machine.js';
+import type { JobId, TaskReport } from '../types.js';
+import { addStray } from './stray_tasks.js';
+
+/*
+ * Carries out what `src/recovery` says of reported tasks that have no place on their machine as far as this leader knows. One
+ * that has its place there agrees with what is known, and never gets here.
+ */
+
+/** A live task: returns its place, or null and notes it among `strays` where it gets none. */
+export function recoverLiveTask(
+  cluster: Cluster,
+  machine: Machine,
+  task: TaskReport & { readonly phase: Exclude<TaskReport['phase'], 'exited'> },
+  strays: StrayTask[],
+): Placement | null {
+  const job = cluster.jobs.get(task.job) ?? null;
+  const elsewhere = job && sentElsewhere(cluster, job, task.index);
+  const classification = classifyTask(cluster, task, elsewhere && otherPlace(elsewhere));
+  countIfNew(cluster, machine, task, classification);
+  switch (classification.action) {
+    case 'adopt':
+      return adopt(cluster, machine, task);
+    case 'adoptAndStop': {
+      const placement = adopt(cluster, machine, task);
+      if (placement) cluster.stop(placement, 0);
+      return placement;
+    }
+    case 'adoptAndStopOther':
+      if (elsewhere) displace(cluster, elsewhere);
+      logDuplicate(cluster, machine, task, elsewhere);
+      return adopt(cluster, machine, task);
+    case 'stop':
+      if (job) logDuplicate(cluster, machine, task, elsewhere);
+      strays.push(strayOf(task, job, true));
+      return null;
+    case 'readRecord':
+      cluster.earlierTerms.suspectOrphan(task.job, machine);
+      strays.push(strayOf(task, job, false));
+      return null;
+    default:
+      strays.push(strayOf(task, job, false));
+      return null;
+  }
+}
+
+/** An ended task without a place: what it says is counted once, whoever started it. */
+export function recoverEndedTask(cluster: Cluster, machine: Machine, task: TaskReport): Classification {
+  const classification = classifyTask(cluster, task, null);
+  if (classification.action === 'readRecord') cluster.earlierTerms.suspectOrphan(task.job, machine);
+  return classification;
+}
+
+/** Whether a worker may drop an ended task of a job that isn't known: only once it is certain that nobody recorded it. */
+export function mayForgetUnknown(cluster: Cluster, job: JobId): boolean {
+  const { recovery } = cluster.earlierTerms;
+  return recovery === null || (recovery.isOrphan(job) && !cluster.unreadableJobs.has(job));
+}
+
+function classifyTask(cluster: Cluster, task: TaskReport, elsewhere: OtherPlace | null): Classification {
+  const ended = task.phase === 'exited' ? task.reason : null;
+  return classify({ attempt: task.attempt, ended, job: storedJob(cluster, task), elsewhere });
+}
+
+function storedJob(cluster: Cluster, { job: id, index }: TaskReport): StoredJob {
+  const job = cluster.jobs.get(id);
+  if (job) {
+    // The tasks of a gang complete together: none that is still there is told to stop.
+    const taskDone = !job.isGang && job.isDone(index);
+    return { kind: 'recorded', cancelled: job.state === 'cancelled', taskDone, isService: job.isService };
+  }
+  if (cluster.unreadableJobs.has(id)) return { kind: 'unreadable' };
+  return { kind: cluster.earlierTerms.recovery?.isOrphan(id) ? 'absent' : 'unread' };
+}
+
+/** The task's place on another machine; one that was only planned is given up. */
+function sentElsewhere(cluster: Cluster, job: Job, index: number): Placement | null {
+  const placement = job.placements.get(index);
+  if (!placement) return null;
+  if (placement.phase !== 'planned') return placement;
+  cluster.release(placement);
+  return null;
+}
+
+const otherPlace = ({ machine, attempt }: Placement): OtherPlace => ({ machine: machine.id, attempt });
+
+function adopt(
+  cluster: Cluster,
+  machine: Machine,
+  task: TaskReport & { readonly phase: Exclude<TaskReport['phase'], 'exited'> },
+): Placement | null {
+  const job = cluster.jobs.get(task.job);
+  return job ? cluster.place(job, task.index, machine, task.attempt, task.phase) : null;
+}
+
+function displace(cluster: Cluster, placement: Placement): void {
+  const { job, index, attempt, machine } = placement;
+  cluster.detach(placement);
+  addStray(cluster, machine, { job: job.id, index, attempt, stop: true, owner: job });
+}
+
+const strayOf = ({ job, index, attempt }: TaskReport, owner: Job | null, stop: boolean): StrayTask => ({
+  job,
+  index,
+  attempt,
+  stop,
+  owner,
+});
+
+/** Lists repeat what doesn't change: a stray is counted with the first list that shows it as what it is. */
+function countIfNew(
+  { earlierTerms }: Cluster,
+  machine: Machine,
+  task: TaskReport,
+  { taskClass, action }: Classification,
+): void {
+  const before = machine.strays.get(taskKey(task.job, task.index));
+  const isRepeated = before?.attempt === task.attempt && before.stop === (action === 'stop');
+  if (!isRepeated) earlierTerms.recovery?.count(taskClass);
+}
+
+function logDuplicate({ ctx }: Cluster, machine: Machine, task: TaskReport, other: Placement | null): void {
+  const { job, index, attempt } = task;
+  if (machine.strays.get(taskKey(job, index))?.attempt === attempt) return;
+  ctx.log('error', 'task reported by two machines', {
+    task: taskKey(job, index),
+    machines: [machine.id, ...(other ? [other.machine.id] : [])],
+    attempts: [String(attempt), ...(other ? [String(other.attempt)] : [])],
+  });
+}
+
+/** Whether an end without a place is news; workers repeat it until they are told to forget it. */
+export function isNewEnd(machine: Machine, { job, index, attempt }: TaskReport): boolean {
+  const key: StartKey = startKey(job, index, attempt);
+  return !machine.endsBefore.has(key);
+}
--- a/src/core/workers/report_handler.ts
+++ b/src/core/workers/report_handler.ts
@@ -1,3 +1,4 @@
+import { LeaseRenewals, ReportBacklog } from '../../recovery/index.js';
 import type { Context } from '../context.js';
 import type { Cluster } from '../leadership/cluster.js';
 import type { LeaderState } from '../leadership/leader.js';
@@ -20,6 +21,12 @@
 
 export type ReportReply = (answer: WorkerAnswer) => void;
 
+/** A list that waits to be looked at. */
+interface UnreadList {
+  readonly machine: Machine;
+  readonly report: WorkerReport;
+}
+
 interface HeldReport {
   readonly reply: ReportReply;
   readonly machine: Machine;
@@ -35,6 +42,10 @@
 export class ReportHandler {
   private readonly ctx: Context;
   private held: HeldReport[] = [];
+  /** Lists of tasks that were answered and have yet to be looked at. */
+  private readonly backlog: ReportBacklog<UnreadList>;
+  /** When reports were last answered before it was known which machines there are. */
+  readonly renewedWhileLoading = new LeaseRenewals();
   private duplicates = 0;
 
   constructor(
@@ -44,6 +55,7 @@
     private readonly leader: LeaderState,
   ) {
     this.ctx = cluster.ctx;
+    this.backlog = new ReportBacklog(this.ctx.features.recovery.lists_per_window);
   }
 
   stop(): void {
@@ -63,6 +75,7 @@
     }
     const emptyAnswer: WorkerAnswer = { status: 200, token: this.token, commands: [] };
     if (!this.leader.isLoaded()) {
+      this.renewedWhileLoading.note(report.machine, this.ctx.now.steady);
       reply(emptyAnswer);
       return;
     }
@@ -86,6 +99,10 @@
     this.noteIgnoredAnswer(machine, report);
     const isFirst = this.recordSignOfLife(machine, report);
     if (!machine.registered) this.leader.registerMachine(machine);
+    if (this.mustWaitInBacklog(machine, report)) {
+      reply(emptyAnswer);
+      return;
+    }
     const newer = isNewer(machine, report);
     const freed = this.reconciliation.take(machine, report, 'report');
     machine.lastReportSeq = report.seq;
@@ -97,6 +114,30 @@
     this.answerOrHold(machine, report, reply, freed || isFirst);
   }
 
+  /** In the storm after a cold start renewals go first; the lists that come with them are looked at in their turn. */
+  private mustWaitInBacklog(machine: Machine, report: WorkerReport): boolean {
+    const { recovery } = this.cluster.earlierTerms;
+    if (!recovery || recovery.isFinished || report.token !== this.token) return false;
+    if (this.backlog.admit(this.ctx.now.steady)) {
+      this.backlog.drop(machine.id);
+      return false;
+    }
+    this.backlog.add(machine.id, { machine, report });
+    machine.lastReportSeq = report.seq;
+    recovery.noteBacklog(this.backlog.size);
+    this.ctx.timers.setIfUnset('reportBacklog', this.backlog.nextAt() ?? this.ctx.now.steady);
+    return true;
+  }
+
+  /** Looks at lists whose turn it is. */
+  takeBacklog(): void {
+    for (const { machine, report } of this.backlog.takeDue(this.ctx.now.steady)) {
+      if (this.mayAnswer() && this.cluster.isKnown(machine)) this.reconciliation.take(machine, report, 'report');
+    }
+    const next = this.backlog.nextAt();
+    if (next !== null) this.ctx.timers.set('reportBacklog', next);
+  }
+
   private answerOrHold(machine: Machine, report: WorkerReport, reply: ReportReply, roomCameFree: boolean): void {
     const held = { reply, machine, seq: report.seq, until: this.ctx.after(HOLD_MS), idle: false };
     if (roomCameFree) {
@@ -193,8 +234,8 @@
    * its next report. Nothing can change on an empty machine that the delay would hide, except a notice.
    */
   private mayHoldIdle(machine: Machine, report: WorkerReport): boolean {
-    const isEmpty = machine.placements.size === 0 && machine.exitedTasks.length === 0;
-    return isEmpty && report.token === this.token && machine.draining === null;
+    const hasNothing = machine.isEmpty && machine.exitedTasks.length === 0;
+    return hasNothing && report.token === this.token && machine.draining === null;
   }
 
   private idleHoldMs(): number {
@@ -209,7 +250,7 @@
   private waitsForRecords(machine: Machine): boolean {
     if (!machine.registered) return true;
     for (const { phase, job } of machine.placements.values()) {
-      if (phase === 'planned' && job.durableStartTerm === 0) return true;
+      if (phase === 'planned' && !job.isStartDurable(machine.zone)) return true;
     }
     return false;
   }
@@ -261,6 +302,7 @@
     if (placement.job.isGang && placement.phase === 'planned' && !isGangStartDue(this.cluster, placement)) return false;
     placement.phase = 'sent';
     placement.sentInReplyTo = seq;
+    this.cluster.earlierTerms.onStart();
     return true;
   }
 }
--- a/src/core/workers/report_processing.ts
+++ b/src/core/workers/report_processing.ts
@@ -1,7 +1,9 @@
 import type { Placement } from '../jobs/job.js';
 import type { Cluster } from '../leadership/cluster.js';
-import { type Machine, startKeyOf, type TaskKey, taskKey } from '../machines/machine.js';
+import { type Machine, type StrayTask, startKey, startKeyOf, type TaskKey, taskKey } from '../machines/machine.js';
 import { steadyPlus, type TaskPhase, type TaskReport, type Token, type WorkerReport } from '../types.js';
+import { recoverLiveTask } from './recovered_tasks.js';
+import { replaceStrays } from './stray_tasks.js';
 import { processExit } from './task_exits.js';
 
 /** Reports are sent one after the other; answers to direct commands overtake them. */
@@ -36,7 +38,7 @@
   if (report.token !== token && (machine.registered || !machine.reconciled || !machine.confirmed)) return false;
   const newSession = applySession(cluster, machine, report);
   const becameReconciled = !machine.reconciled;
-  if (becameReconciled) cluster.markReconciled(machine);
+  if (becameReconciled) cluster.markReconciled(machine, 'listed');
   const firstNotice = applyNotice(cluster, machine, report);
   const tasksChanged = applyTasks(cluster, machine, report, source);
   machine.dropAbandonedFetches();
@@ -82,15 +84,18 @@
 function applyTasks(cluster: Cluster, machine: Machine, report: WorkerReport, source: ReportSource): boolean {
   let freed = false;
   const live = new Set<TaskKey>();
+  const strays: StrayTask[] = [];
+  machine.endsBefore = new Set(machine.exitedTasks.map(({ job, index, attempt }) => startKey(job, index, attempt)));
   machine.exitedTasks = [];
   for (const task of report.tasks) {
     if (isLive(task)) {
       live.add(taskKey(task.job, task.index));
-      processLiveTask(cluster, machine, task);
+      processLiveTask(cluster, machine, task, strays);
     } else if (processExit(cluster, machine, task)) {
       freed = true;
     }
   }
+  replaceStrays(cluster, machine, strays);
   return applyAbsences(cluster, machine, live, report, source) || freed;
 }
 
@@ -141,8 +146,8 @@
 }
 
 /** Takes in what a report shows of a task that has not ended. */
-function processLiveTask(cluster: Cluster, machine: Machine, task: LiveTask): void {
-  const placement = placementOf(cluster, machine, task);
+function processLiveTask(cluster: Cluster, machine: Machine, task: LiveTask, strays: StrayTask[]): void {
+  const placement = placementOf(cluster, machine, task, strays);
   if (!placement) return;
   const now = cluster.ctx.now.steady;
   const { job } = placement;
@@ -157,9 +162,7 @@
 }
 
 /** The placement that a live task belongs to, made where there is none; null where the task can't be accounted for. */
-function placementOf(cluster: Cluster, machine: Machine, task: LiveTask): Placement | null {
-  const job = cluster.jobs.get(task.job);
-  if (!job) return null;
+function placementOf(cluster: Cluster, machine: Machine, task: LiveTask, strays: StrayTask[]): Placement | null {
   const known = cluster.findPlacement(machine, task.job, task.index);
   if (known?.attempt === task.attempt) return known;
   if (known) {
@@ -168,6 +171,14 @@
     // An older attempt is still there: ours can't have been started.
     cluster.release(known);
   }
+  if (cluster.earlierTerms.recovery) return recoverLiveTask(cluster, machine, task, strays);
+  return placeReported(cluster, machine, task);
+}
+
+/** Without the recovery feature: a task that two machines report stays where it was found first. */
+function placeReported(cluster: Cluster, machine: Machine, task: LiveTask): Placement | null {
+  const job = cluster.jobs.get(task.job);
+  if (!job) return null;
   const elsewhere = job.placements.get(task.index);
   if (elsewhere && elsewhere.phase !== 'planned') {
     cluster.ctx.log('error', 'task reported by two machines', {
--- a/src/core/workers/start_checks.ts
+++ b/src/core/workers/start_checks.ts
@@ -7,7 +7,7 @@
   return (
     job.state === 'accepted' &&
     job.durableState === 'accepted' &&
-    job.durableStartTerm > 0 &&
+    job.isStartDurable(machine.zone) &&
     !job.gangBroken &&
     machine.registered &&
     machine.unresponsiveSince === null
--- /dev/null
+++ b/src/core/workers/stray_tasks.ts
@@ -0,0 +1,38 @@
+import type { Cluster } from '../leadership/cluster.js';
+import { type Machine, type StrayTask, type TaskKey, taskKey } from '../machines/machine.js';
+
+/*
+ * Tasks that a worker reports and that have no place on its machine: those of jobs that aren't known, and those found on two
+ * machines at once. While one is there its machine gets nothing new, and the same task is started nowhere.
+ */
+
+export const strayKey = ({ job, index }: StrayTask): TaskKey => taskKey(job, index);
+
+/** The strays that a new list shows, instead of those of the one before. */
+export function replaceStrays(cluster: Cluster, machine: Machine, strays: readonly StrayTask[]): void {
+  if (strays.length === 0 && machine.strays.size === 0) return;
+  const before = machine.strays;
+  machine.strays = new Map(strays.map((stray) => [strayKey(stray), stray]));
+  for (const stray of machine.strays.values()) count(cluster, stray, 1);
+  for (const stray of before.values()) count(cluster, stray, -1);
+  if (strays.some(({ stop }) => stop)) cluster.requestStops(machine);
+}
+
+/** The machine is gone, or its tasks are. */
+export function dropStrays(cluster: Cluster, machine: Machine): void {
+  replaceStrays(cluster, machine, []);
+}
+
+/** A place turned out to be left over from an earlier start: its task is stopped, and it counts until it is gone. */
+export function addStray(cluster: Cluster, machine: Machine, stray: StrayTask): void {
+  replaceStrays(cluster, machine, [...machine.strays.values(), stray]);
+}
+
+/** Strays of known jobs count against their team's limit, and keep the same task from being started again. */
+function count({ quotas }: Cluster, { owner, index }: StrayTask, change: 1 | -1): void {
+  if (!owner) return;
+  quotas.add(owner.spec, change);
+  const onMachines = (owner.strays.get(index) ?? 0) + change;
+  if (onMachines > 0) owner.strays.set(index, onMachines);
+  else owner.strays.delete(index);
+}
--- a/src/core/workers/task_exits.ts
+++ b/src/core/workers/task_exits.ts
@@ -3,6 +3,7 @@
 import { type Machine, taskKey } from '../machines/machine.js';
 import { SLOW_FACTOR, WRONG_ESTIMATE_MACHINES } from '../machines/slowness.js';
 import type { Steady, TaskReport } from '../types.js';
+import { isNewEnd, recoverEndedTask } from './recovered_tasks.js';
 
 const FLUSH_RESULTS_MS = 30;
 /** A replica that ran for so long has shown that its service and its machine are well. */
@@ -15,15 +16,19 @@
 /** After a start that the worker refused. */
 const REFUSED_START_PAUSE_MS = 1000;
 
+/** Where a task was that has ended, and since when. */
+type EndedPlace = Pick<Placement, 'job' | 'machine' | 'since' | 'runningSince'>;
+
 /** Takes in that a task ended. Returns whether room came free. */
 export function processExit(cluster: Cluster, machine: Machine, task: TaskReport): boolean {
   const job = cluster.jobs.get(task.job);
   const { index, attempt } = task;
   const hasResult = task.reason === 'done' && !job?.isService;
   machine.exitedTasks.push({ job: task.job, index, attempt, done: hasResult });
-  if (!job) return false;
   const found = cluster.findPlacement(machine, task.job, index);
   const placement = found?.attempt === attempt ? found : null;
+  if (!placement && cluster.earlierTerms.recovery) recordMissedEnd(cluster, machine, task);
+  if (!job) return false;
   if (hasResult) recordResult(cluster, machine, job, task, placement);
   if (!placement) return false;
   if (job.isService) recordReplicaEnd(cluster, placement, task);
@@ -32,6 +37,20 @@
   return true;
 }
 
+/** A task that ended while nobody watched, or that nobody knows of. What failed counts once, as it would have then. */
+function recordMissedEnd(cluster: Cluster, machine: Machine, task: TaskReport): void {
+  const { taskClass, action } = recoverEndedTask(cluster, machine, task);
+  if (!isNewEnd(machine, task)) return;
+  cluster.earlierTerms.recovery?.count(taskClass);
+  const job = cluster.jobs.get(task.job);
+  if (!job) return;
+  job.located.add(task.index);
+  if (action !== 'requeue' || job.isService) return;
+  const now = cluster.ctx.now.steady;
+  const placement = { job, machine, since: now, runningSince: now };
+  recordFailure(cluster, placement, task);
+}
+
 function recordResult(
   cluster: Cluster,
   machine: Machine,
@@ -48,9 +67,11 @@
 }
 
 /** Learns from how long a task took, unless it ran in several parts. */
-function recordRunTime(cluster: Cluster, { job, machine, runningSince }: Placement): void {
+function recordRunTime(cluster: Cluster, { job, machine, runningSince, foundRunning }: Placement): void {
   if (runningSince === null || job.failures > 0) return;
-  const { estimates, ctx } = cluster;
+  const { estimates, ctx, earlierTerms } = cluster;
+  // How long it ran before this leader found it isn't known: taken for its whole time it would make estimates too short.
+  if (foundRunning && earlierTerms.recovery) return;
   const spread = estimates.spread(job.spec);
   const surprise = estimates.observe(job.spec, (ctx.now.steady - runningSince) / 1000);
   // A gang is as slow as its slowest machine: only a gang of one says which that is.
@@ -93,7 +114,7 @@
   job.notBefore = ctx.after(Math.min(MAX_RESTART_PAUSE_MS, pauseMs));
 }
 
-function noteJobFailure({ job, machine, since, runningSince }: Placement, now: Steady): void {
+function noteJobFailure({ job, machine, since, runningSince }: EndedPlace, now: Steady): void {
   const { failureHistory } = job;
   failureHistory.noteFailure(machine.id, {
     placedAt: since,
@@ -103,7 +124,7 @@
   });
 }
 
-function recordFailure(cluster: Cluster, placement: Placement, task: TaskReport): void {
+function recordFailure(cluster: Cluster, placement: EndedPlace, task: TaskReport): void {
   const { ctx } = cluster;
   const { job, machine, runningSince } = placement;
   const { reason } = task;
--- a/src/io/runtime.ts
+++ b/src/io/runtime.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import type { Server } from 'node:http';
 import type { Platform } from '../config/platform.js';
+import type { Features } from '../core/features.js';
 import type { CloudOp, Input, Output, RequestId, Result, StoreOp, UserAnswer, WorkerAnswer } from '../core/messages.js';
 import { Node } from '../core/node.js';
 import type { Tuning } from '../core/settings.js';
@@ -42,12 +43,13 @@
   constructor(
     private readonly platform: Platform,
     tuning: Tuning,
+    features: Features,
     private readonly log: Log,
   ) {
     const { settings } = platform;
     const seed = randomBytes(4).readInt32BE(0);
     const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
-    this.node = new Node(settings, tuning, incarnation, seed, this.now());
+    this.node = new Node(settings, tuning, incarnation, seed, this.now(), features);
     this.store = new HttpClient(platform.storeAddr, STORE_SOCKETS);
     this.watches = new HttpClient(platform.storeAddr, WATCH_SOCKETS);
     this.cloud = new HttpClient(platform.cloudAddr, CLOUD_SOCKETS);
--- /dev/null
+++ b/src/recovery/orphans.ts
@@ -0,0 +1,78 @@
+import type { JobId, MachineId, Steady } from '../core/types.js';
+import type { Orphan } from './types.js';
+
+/** So many tasks are listed for operators; beyond that they are handled alike and not listed. */
+const MAX_LISTED = 1000;
+/** So many jobs are kept; the tasks of any more are left alone until there is room. */
+const MAX_JOBS = 10_000;
+
+interface SuspectedJob {
+  readonly machines: Set<MachineId>;
+  readonly seenAt: Steady;
+  reading: boolean;
+  confirmed: boolean;
+}
+
+/**
+ * Jobs that workers report and the store was not found to hold. A start goes out only after the job's record was written, and
+ * a transaction that is carried out late can't have been answered before; so a record that justifies a start is there before
+ * the task is, and a read sent after the report finds it whatever is still on its way.
+ */
+export class Orphans {
+  private readonly jobs = new Map<JobId, SuspectedJob>();
+
+  /** A worker reports a task of a job that isn't known. Returns whether its record is to be read now. */
+  onReported(job: JobId, machine: MachineId, now: Steady): boolean {
+    let suspected = this.jobs.get(job);
+    if (!suspected) {
+      if (this.jobs.size >= MAX_JOBS) return false;
+      suspected = { machines: new Set(), seenAt: now, reading: false, confirmed: false };
+      this.jobs.set(job, suspected);
+    }
+    suspected.machines.add(machine);
+    if (suspected.confirmed || suspected.reading) return false;
+    suspected.reading = true;
+    return true;
+  }
+
+  /** The answer to the read: true, false, or null where the store didn't say. Returns whether it is news that it is absent. */
+  onRead(job: JobId, exists: boolean | null): boolean {
+    const suspected = this.jobs.get(job);
+    if (!suspected) return false;
+    suspected.reading = false;
+    if (exists === true) this.jobs.delete(job);
+    const isNews = exists === false && !suspected.confirmed;
+    if (exists === false) suspected.confirmed = true;
+    return isNews;
+  }
+
+  /** The record has turned up: what runs is taken over. */
+  onRecorded(job: JobId): void {
+    this.jobs.delete(job);
+  }
+
+  isConfirmed(job: JobId): boolean {
+    return this.jobs.get(job)?.confirmed ?? false;
+  }
+
+  /** Whether any record has yet to be read. */
+  get hasUnconfirmed(): boolean {
+    for (const { confirmed } of this.jobs.values()) if (!confirmed) return true;
+    return false;
+  }
+
+  get size(): number {
+    return this.jobs.size;
+  }
+
+  list(): Orphan[] {
+    const orphans: Orphan[] = [];
+    for (const [job, { machines, seenAt, confirmed }] of this.jobs) {
+      for (const machine of machines) {
+        if (orphans.length >= MAX_LISTED) return orphans;
+        orphans.push({ job, machine, seenAt, confirmed });
+      }
+    }
+    return orphans;
+  }
+}
--- /dev/null
+++ b/src/recovery/report_backlog.ts
@@ -0,0 +1,60 @@
+import type { MachineId, Steady } from '../core/types.js';
+
+/** Lists are counted in windows of so many milliseconds. */
+const WINDOW_MS = 50;
+
+/**
+ * Evens out the storm of reports after a cold start. Renewals go out at once; of the lists that come with them only so many
+ * are looked at in a window, the others wait here, the newest of each machine: never more than there are machines.
+ */
+export class ReportBacklog<List> {
+  private readonly waiting = new Map<MachineId, List>();
+  private windowStart = Number.NEGATIVE_INFINITY as Steady;
+  private taken = 0;
+  /** The most that waited at once. */
+  longest = 0;
+
+  constructor(private readonly listsPerWindow: number) {}
+
+  get size(): number {
+    return this.waiting.size;
+  }
+
+  /** Whether one more list may be looked at now; if so it counts. */
+  admit(now: Steady): boolean {
+    if (now - this.windowStart >= WINDOW_MS) {
+      this.windowStart = now;
+      this.taken = 0;
+    }
+    if (this.taken >= this.listsPerWindow) return false;
+    this.taken += 1;
+    return true;
+  }
+
+  /** A list that waits for its turn; an older one of the same machine says nothing more. */
+  add(machine: MachineId, list: List): void {
+    this.waiting.set(machine, list);
+    this.longest = Math.max(this.longest, this.waiting.size);
+  }
+
+  /** A newer list of the machine has been looked at, or the machine is gone. */
+  drop(machine: MachineId): void {
+    this.waiting.delete(machine);
+  }
+
+  /** The lists whose turn it is now, those that have waited longest first. */
+  takeDue(now: Steady): List[] {
+    const due: List[] = [];
+    for (const [machine, list] of this.waiting) {
+      if (!this.admit(now)) break;
+      this.waiting.delete(machine);
+      due.push(list);
+    }
+    return due;
+  }
+
+  /** When lists may be looked at again; null: none waits. */
+  nextAt(): Steady | null {
+    return this.waiting.size === 0 ? null : ((this.windowStart + WINDOW_MS) as Steady);
+  }
+}
--- /dev/null
+++ b/src/recovery/start_zones.ts
@@ -0,0 +1,37 @@
+import type { ZoneName } from '../core/types.js';
+
+/*
+ * A job's record names the zones in which it may have been started, and is written before the first start in each. After a
+ * change of leader a job needn't wait for machines in other zones. Releases that don't keep the list start tasks without
+ * adding to it, so a list is believed only if every leader since the job's first start kept it: the counter of terms, which
+ * each leader writes as it takes the lead, says since which term that holds. A leader that doesn't know the field leaves it
+ * out, and the next one that does begins anew.
+ */
+
+/** The counter of terms as it is stored: `n` is the term, `zones` the first of an unbroken row of terms that kept zones. */
+export interface TermValue {
+  readonly n: number;
+  readonly zones?: number;
+}
+
+const isTerm = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) > 0;
+
+/** The counter as the leader of a new term writes it. */
+export function nextTermValue(stored: unknown, keepsZones: boolean): TermValue {
+  const { n, zones } = (stored ?? {}) as { n?: unknown; zones?: unknown };
+  const term = Number(n ?? 0) + 1;
+  if (!keepsZones) return { n: term };
+  return { n: term, zones: isTerm(zones) && zones < term ? zones : term };
+}
+
+/** Since which term every leader has kept the zones of jobs; null: this leader doesn't believe any list. */
+export type ZonesKeptSince = number | null;
+
+/** The zones in which tasks of a job can be, as far as its record may be believed; null: any. */
+export function believedZones(
+  startTerm: number,
+  startZones: readonly ZoneName[] | null,
+  keptSince: ZonesKeptSince,
+): readonly ZoneName[] | null {
+  return keptSince !== null && startTerm >= keptSince ? startZones : null;
+}
--- /dev/null
+++ b/src/recovery/summary.ts
@@ -0,0 +1,71 @@
+import type { Steady } from '../core/types.js';
+import type { Certainty, Orphan, TaskClass } from './types.js';
+
+/** How many of each class were found. */
+export type TaskCounts = Readonly<Record<TaskClass, number>>;
+export type CertaintyCounts = Readonly<Record<Certainty, number>>;
+
+/** What a leader has found out since it took the lead. */
+export interface RecoverySummary {
+  readonly term: number;
+  readonly startedAt: Steady;
+  /** When the last machine became certain; null: some are not. */
+  readonly finishedAt: Steady | null;
+  /** When the first task was started; null: none was. */
+  readonly firstStartAt: Steady | null;
+  /** Machines on record as the lead was taken, and how they became certain. */
+  readonly machines: number;
+  readonly uncertainMachines: number;
+  readonly certainty: CertaintyCounts;
+  /** Machines that were found though no record showed them. */
+  readonly unlistedMachines: number;
+  readonly tasks: TaskCounts;
+  /** Tasks of jobs begun earlier that were on no machine when all were certain. */
+  readonly notFound: number;
+  /** Jobs' records and pages of the registry that this version can't read. */
+  readonly unreadableRecords: number;
+  /** The most lists that waited for their turn. */
+  readonly longestBacklog: number;
+  readonly orphans: readonly Orphan[];
+}
+
+const NO_TASKS: TaskCounts = {
+  agrees: 0,
+  finished: 0,
+  finishedOnRecord: 0,
+  endedOtherwise: 0,
+  cancelled: 0,
+  alreadyDone: 0,
+  staleDuplicate: 0,
+  newerDuplicate: 0,
+  orphanSuspected: 0,
+  orphan: 0,
+  unreadable: 0,
+};
+
+const NO_MACHINES: CertaintyCounts = { listed: 0, leaseEnded: 0, gone: 0 };
+
+type Mutable<T> = { -readonly [K in keyof T]: T[K] };
+
+export const noTasks = (): Mutable<TaskCounts> => ({ ...NO_TASKS });
+export const noMachines = (): Mutable<CertaintyCounts> => ({ ...NO_MACHINES });
+
+/** The summary as one line's fields; what was not met is left out. */
+export function summaryFields(summary: RecoverySummary): Record<string, number> {
+  const { term, machines, unlistedMachines, notFound, unreadableRecords, longestBacklog } = summary;
+  const fields: Record<string, number> = { term, machines };
+  if (summary.finishedAt !== null) fields.tookS = roundS(summary.finishedAt - summary.startedAt);
+  if (summary.firstStartAt !== null) fields.firstStartS = roundS(summary.firstStartAt - summary.startedAt);
+  const counts = {
+    ...summary.certainty,
+    ...summary.tasks,
+    unlistedMachines,
+    notFound,
+    unreadableRecords,
+    longestBacklog,
+  };
+  for (const [name, count] of Object.entries(counts)) if (count > 0) fields[name] = count;
+  return fields;
+}
+
+const roundS = (ms: number): number => Math.round(ms / 10) / 100;
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -194,7 +194,7 @@
 const zoneA = 'a' as ZoneName;
 const zoneB = 'b' as ZoneName;
 
-const rentedMachine = (id: string, addr: string, phase: 'booting' | 'up', now: Steady): Machine =>
+const machineOf = (id: string, addr: string, phase: 'booting' | 'up', now: Steady, rentedHere: boolean): Machine =>
   new Machine({
     id: id as MachineId,
     type: type('g4', 24, 4),
@@ -203,19 +203,24 @@
     addr,
     reconciled: true,
     phase,
+    rentedHere,
     now,
   });
 
 test('machines: a machine known only from a report or a list gets no work before it has shown that it hears us', () => {
   const now = 1000 as Steady;
-  const reported = rentedMachine('i-1', 'i-1', 'up', now);
+  const reported = machineOf('i-1', 'i-1', 'up', now, false);
   assert.equal(reported.isSchedulable(now, 2000), false);
   reported.confirmReachable();
   assert.equal(reported.isSchedulable(now, 2000), true);
   // What we rented ourselves can't be a late copy of something gone.
-  const rented = rentedMachine('i-2', '', 'booting', now);
+  const rented = machineOf('i-2', '', 'booting', now, true);
   rented.phase = 'up';
   assert.equal(rented.isSchedulable(now, 2000), true);
+  // A list is late: what it shows as booting may be gone as well.
+  const listed = machineOf('i-3', '', 'booting', now, false);
+  listed.phase = 'up';
+  assert.equal(listed.isSchedulable(now, 2000), false);
 });
 
 test('planner: filling free room looks only where something could begin, and ends with its steps', () => {
@@ -329,11 +334,11 @@
     page.machines.map(({ id }) => id),
     ['i-1'],
   );
-  const restored = rentedMachine('i-1', 'i-1', 'up', 0 as Steady);
+  const restored = machineOf('i-1', 'i-1', 'up', 0 as Steady, false);
   registry.restore(restored, 'm/0');
   assert.equal(restored.registered, true);
   registry.add(restored);
-  registry.add(rentedMachine('i-2', 'i-2', 'up', 0 as Steady));
+  registry.add(machineOf('i-2', 'i-2', 'up', 0 as Steady, false));
   const due = registry.duePages(0 as Steady, true);
   assert.deepEqual(
     due.map(({ no }) => no),
@@ -368,12 +373,12 @@
     const spec = { ...makeSpec(id, 'gang', { tasks: '2', gpus: '4' }) };
     const submittedAt = (now.wall - waitedS * 1000) as Wall;
     return new Job(
-      { spec, submittedAt, state: 'accepted', startTerm: 0, startZone: null, done: new RangeSet() },
+      { spec, submittedAt, state: 'accepted', startTerm: 0, startZone: null, startZones: null, done: new RangeSet() },
       revision(1),
     );
   };
   const jobs = [gang('job-1', 130), gang('job-2', 200), gang('job-3', 20)];
-  const machines = [0, 1, 2, 3, 4, 5].map((i) => rentedMachine(`i-${i}`, '', 'up', now.steady));
+  const machines = [0, 1, 2, 3, 4, 5].map((i) => machineOf(`i-${i}`, '', 'up', now.steady, false));
   const starts = machines.map((_, slot) => ({
     job: Math.floor(slot / 2),
     machine: slot,
--- a/test/sim/build.ts
+++ b/test/sim/build.ts
@@ -1,5 +1,7 @@
 import { fileURLToPath } from 'node:url';
+import { loadFeatures } from '../../src/config/features.js';
 import { loadTuning } from '../../src/config/tuning.js';
+import { ALL_OFF, type Features } from '../../src/core/features.js';
 import type { Input, Output } from '../../src/core/messages.js';
 import { Node } from '../../src/core/node.js';
 import * as records from '../../src/core/records.js';
@@ -14,6 +16,8 @@
   readonly splitterClass: typeof FrameSplitter;
   readonly records: typeof records;
   readonly tuning: Tuning;
+  /** What it switches on; builds that know of no such file have nothing to switch. */
+  readonly features: Features;
   /** Whether it keeps to the limits that the settings announce for later. */
   readonly readsAnnouncedLimits: boolean;
   /** Whether its code calls messages as the present one does; on the wire nothing was renamed. */
@@ -25,14 +29,25 @@
 /** For builds that use the present names. */
 export const AS_IT_IS: Build['translate'] = { input: (input) => input, output: (output) => output };
 
+const deployFile = (name: string): string => fileURLToPath(new URL(`../../../../deploy/${name}`, import.meta.url));
+
 export const PRESENT: Build = {
   name: 'present',
   nodeClass: Node,
   encodeFrame,
   splitterClass: FrameSplitter,
   records,
-  tuning: loadTuning(fileURLToPath(new URL('../../../../deploy/tuning.toml', import.meta.url))),
+  tuning: loadTuning(deployFile('tuning.toml')),
+  features: loadFeatures(deployFile('features.toml')),
   readsAnnouncedLimits: true,
   hasPresentNames: true,
   translate: AS_IT_IS,
 };
+
+/** The present build with all features off, as an operator may run it beside others. */
+export const FEATURES_OFF: Build = { ...PRESENT, name: 'features-off', features: ALL_OFF };
+
+/** The builds of this version. */
+export const PRESENT_BUILDS: readonly Build[] = [PRESENT, FEATURES_OFF];
+
+export const isPresent = (build: Build): boolean => PRESENT_BUILDS.includes(build);
--- a/test/sim/controller.ts
+++ b/test/sim/controller.ts
@@ -14,7 +14,7 @@
 import type { MachineId, NodeName, Now, Steady, Wall, WorkerReport } from '../../src/core/types.js';
 import { checkExpiry } from '../../src/io/expired_outputs.js';
 import type { FrameSplitter, PeerFrame } from '../../src/io/peer/peer_codec.js';
-import { type Build, PRESENT } from './build.js';
+import { type Build, isPresent } from './build.js';
 import type { Cloud } from './cloud.js';
 import type { World } from './world.js';
 
@@ -61,10 +61,11 @@
     const { world } = this;
     this.node = new this.build.nodeClass(
       this.settings(this.build),
-      this.build === PRESENT ? world.options.tuning : this.build.tuning,
+      isPresent(this.build) ? world.options.tuning : this.build.tuning,
       `${this.name}-${this.starts}`,
       world.options.seed + this.starts,
       this.now(),
+      this.build.features,
     );
     this.step({ kind: 'start' });
   }
--- a/test/sim/invalid_requests.ts
+++ b/test/sim/invalid_requests.ts
@@ -1,5 +1,5 @@
 import type { JobId, JobSpec } from '../../src/core/types.js';
-import { type Build, PRESENT } from './build.js';
+import { type Build, isPresent } from './build.js';
 import { makeSpec, type Options } from './job_options.js';
 import type { World } from './world.js';
 
@@ -8,7 +8,7 @@
  * on to it unchecked; the present one never does, so its answers are always judged.
  */
 function mayTakeSplitGangs(world: World, asked: Build): boolean {
-  if (asked === PRESENT) return false;
+  if (isPresent(asked)) return false;
   return asked.name === 'production' || world.nodes.some((node) => node.build.name === 'production');
 }
 
--- a/test/sim/old_versions.ts
+++ b/test/sim/old_versions.ts
@@ -1,5 +1,6 @@
 import { existsSync, readFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
+import { ALL_OFF } from '../../src/core/features.js';
 import type { Input, JobStatus, Output, UserAnswer } from '../../src/core/messages.js';
 import type { Tuning } from '../../src/core/settings.js';
 import type { PeerFrame } from '../../src/io/peer/peer_codec.js';
@@ -55,7 +56,7 @@
   const { loadTuning } = await part<{ loadTuning: (file: string) => Tuning }>('config/tuning');
   const tuning = loadTuning(fileURLToPath(repositoryFile(`${directory}/checkout/deploy/tuning.toml`)));
   const translate = hasPresentNames ? AS_IT_IS : { input: oldInput, output: presentOutput };
-  const properties = { name, tuning, readsAnnouncedLimits, hasPresentNames };
+  const properties = { name, tuning, features: ALL_OFF, readsAnnouncedLimits, hasPresentNames };
   return { ...properties, nodeClass, encodeFrame, splitterClass, records, translate };
 }
 
--- a/test/sim/scenario_events.ts
+++ b/test/sim/scenario_events.ts
@@ -1,6 +1,6 @@
 import type { Output, StoreOp } from '../../src/core/messages.js';
 import type { JobId } from '../../src/core/types.js';
-import { type Build, PRESENT } from './build.js';
+import { type Build, PRESENT, PRESENT_BUILDS } from './build.js';
 import { sendInvalidRequest } from './invalid_requests.js';
 import { makeSpec, num, readOptions } from './job_options.js';
 import type { World } from './world.js';
@@ -9,7 +9,7 @@
 export const NO_VERSIONS: ReadonlyMap<string, Build> = new Map();
 
 export function buildNamed(oldVersions: ReadonlyMap<string, Build>, name: string): Build {
-  const build = name === PRESENT.name ? PRESENT : oldVersions.get(name);
+  const build = PRESENT_BUILDS.find((known) => known.name === name) ?? oldVersions.get(name);
   if (!build) throw new Error(`no version ${name}`);
   return build;
 }
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -11,7 +11,7 @@
   Team,
   ZoneName,
 } from '../../src/core/types.js';
-import { type Build, PRESENT } from './build.js';
+import { type Build, isPresent, PRESENT } from './build.js';
 import { Clock } from './clock.js';
 import { Cloud } from './cloud.js';
 import { Controller } from './controller.js';
@@ -145,7 +145,7 @@
       if (keys.some((key) => key.startsWith(records.MACHINE_PREFIX))) this.checkRegistry();
     };
     this.state.onTooLarge = (from) => {
-      if (this.nodes.some((node) => node.name === from && node.build === PRESENT)) this.refusedSizes += 1;
+      if (this.nodes.some((node) => node.name === from && isPresent(node.build))) this.refusedSizes += 1;
     };
     new IdleRoom(this);
     this.uptime.begin();
--- a/test/versions.test.ts
+++ b/test/versions.test.ts
@@ -16,13 +16,22 @@
 const oldVersions = await loadOldVersions();
 
 const jobs: records.JobRecord[] = (['accepted', 'done', 'cancelled'] as const).flatMap((state) => [
-  { spec, submittedAt: 1_790_000_000_123 as Wall, state, startTerm: 0, startZone: null, done: new RangeSet() },
+  {
+    spec,
+    submittedAt: 1_790_000_000_123 as Wall,
+    state,
+    startTerm: 0,
+    startZone: null,
+    startZones: null,
+    done: new RangeSet(),
+  },
   {
     spec: { ...spec, shape: 'array', tasks: 100, types: null, zone: 'a' as ZoneName, deadlineS: null, spotOk: true },
     submittedAt: 1_790_000_000_000 as Wall,
     state,
     startTerm: 7,
     startZone: 'a' as ZoneName,
+    startZones: null,
     done: RangeSet.from([
       [0, 3],
       [8, 8],
@@ -55,6 +64,12 @@
 const comparable = (record: records.JobRecord | null): unknown =>
   record && { ...record, done: record.done.pairs(VALUE_BYTES) };
 
+/** A record as a version reads it that knows nothing of the zones in which jobs were started. */
+function withoutZones(record: records.JobRecord): unknown {
+  const { startZones: _, ...known } = record;
+  return { ...known, done: record.done.pairs(VALUE_BYTES) };
+}
+
 /** Kinds of frame that a version knows: those after them go only to peers that announced them. */
 const knownFrames = (build: Build): PeerFrame[] =>
   frames.filter(({ kind }) => build.name !== 'production' || (kind !== 'cancellation' && kind !== 'cancellationAck'));
@@ -70,7 +85,19 @@
       const newValue = stored(records.encodeJob(record, VALUE_BYTES));
       assert.deepEqual(newValue, oldValue);
       assert.deepEqual(comparable(records.decodeJob(oldValue)), comparable(record));
-      assert.deepEqual(comparable(old.records.decodeJob(newValue)), comparable(record));
+      assert.deepEqual(comparable(old.records.decodeJob(newValue)), withoutZones(record));
+    }
+  });
+
+  test(`${name}: reads past the zones that a job's record names, and drops them when it writes the record`, () => {
+    for (const record of jobs) {
+      const withZones = { ...record, startZones: ['a', 'b'] as ZoneName[] };
+      const value = stored(records.encodeJob(withZones, VALUE_BYTES));
+      assert.deepEqual(comparable(records.decodeJob(value)), comparable(withZones));
+      const read = old.records.decodeJob(value);
+      assert.deepEqual(comparable(read), withoutZones(record));
+      const rewritten = stored(old.records.encodeJob(read as records.JobRecord, VALUE_BYTES));
+      assert.deepEqual(comparable(records.decodeJob(rewritten)), comparable(record));
     }
   });
 
