--- a/src/core/workers/recovered_tasks.ts
+++ b/src/core/workers/recovered_tasks.ts
@@ -65,11 +65,11 @@
   return classify({ attempt: task.attempt, ended, job: storedJob(cluster, task), elsewhere });
 }
 
-function storedJob(cluster: Cluster, { job: id, index }: TaskReport): StoredJob {
+function storedJob(cluster: Cluster, { job: id, index, phase }: TaskReport): StoredJob {
   const job = cluster.jobs.get(id);
   if (job) {
     // The tasks of a gang complete together: none that is still there is told to stop.
-    const taskDone = !job.isGang && job.isDone(index);
+    const taskDone = (phase === 'exited' || !job.isGang) && job.isDone(index);
     return { kind: 'recorded', cancelled: job.state === 'cancelled', taskDone, isService: job.isService };
   }
   if (cluster.unreadableJobs.has(id)) return { kind: 'unreadable' };
--- a/test/sim/controller.ts
+++ b/test/sim/controller.ts
@@ -14,6 +14,7 @@
 import type { MachineId, NodeName, Now, Steady, Wall, WorkerReport } from '../../src/core/types.js';
 import { checkExpiry } from '../../src/io/expired_outputs.js';
 import type { FrameSplitter, PeerFrame } from '../../src/io/peer/peer_codec.js';
+import type { RecoverySummary } from '../../src/recovery/index.js';
 import { type Build, isPresent } from './build.js';
 import type { Cloud } from './cloud.js';
 import type { World } from './world.js';
@@ -220,6 +221,10 @@
     }
   }
 
+  recoverySummary(): RecoverySummary | null {
+    return this.node?.recoverySummary?.() ?? null;
+  }
+
   fromPeer(from: NodeName, message: PeerMessage): void {
     this.step({ kind: 'peer', from, message });
   }
--- a/test/sim/rules.ts
+++ b/test/sim/rules.ts
@@ -61,6 +61,14 @@
     private readonly cancelMs: number,
   ) {}
 
+  /** Jobs of which a worker has tasks though nobody submitted them. */
+  readonly planted = new Map<JobId, JobSpec>();
+
+  /** What workers know of a job. */
+  specOf(job: JobId): JobSpec | undefined {
+    return this.submitted.get(job) ?? this.planted.get(job);
+  }
+
   submit(spec: JobSpec): void {
     this.submitted.set(spec.id, spec);
     this.submittedAt.set(spec.id, this.clock.now);
--- a/test/sim/scenario_checks.ts
+++ b/test/sim/scenario_checks.ts
@@ -1,4 +1,5 @@
 import type { JobId } from '../../src/core/types.js';
+import { recoveryChecks } from './recovery_events.js';
 import type { World } from './world.js';
 
 /** What `expect most` can ask for. Calls and changes are of the busiest second, of all nodes together. */
@@ -15,6 +16,7 @@
 export type Check = (world: World, words: string[]) => string | null;
 
 export const checks: Readonly<Record<string, Check>> = {
+  ...recoveryChecks,
   /** expect done JOB ... */
   done(world, ids) {
     const open = ids.filter((id) => world.rules.finalOf(id as JobId) !== 'done');
--- a/test/sim/scenario_events.ts
+++ b/test/sim/scenario_events.ts
@@ -3,6 +3,7 @@
 import { type Build, PRESENT, PRESENT_BUILDS } from './build.js';
 import { sendInvalidRequest } from './invalid_requests.js';
 import { makeSpec, num, readOptions } from './job_options.js';
+import { recoveryEvents } from './recovery_events.js';
 import type { World } from './world.js';
 
 /** Where a scenario names no old versions. */
@@ -81,6 +82,7 @@
 };
 
 export const events: Readonly<Record<string, Event>> = {
+  ...recoveryEvents,
   submit(world, [id, shape, ...rest]) {
     const options = readOptions(rest);
     const spec = makeSpec(id ?? '', shape === 'gang' || shape === 'service' ? shape : 'array', options);
--- a/test/sim/state_service.ts
+++ b/test/sim/state_service.ts
@@ -231,6 +231,13 @@
     this.onChanged(op.changes.map((change) => ('drop' in change ? change.drop : change.put)));
   }
 
+  /** Changes a value as nobody in this world would. */
+  overwrite(key: string, value: unknown): void {
+    this.rev += 1n;
+    this.put(key, value, null);
+    this.notify();
+  }
+
   private put(key: string, value: unknown, lease: LeaseId | null): void {
     const old = this.items.get(key);
     if (old && old.lease !== null) this.leases.get(old.lease)?.keys.delete(key);
