--- a/test/paused_process.test.ts
+++ b/test/paused_process.test.ts
@@ -1,13 +1,7 @@
 import assert from 'node:assert/strict';
-import { type ChildProcess, spawn } from 'node:child_process';
-import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
-import { request } from 'node:http';
-import { type AddressInfo, createServer } from 'node:net';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import type { ChildProcess } from 'node:child_process';
 import { test } from 'node:test';
-import { fileURLToPath } from 'node:url';
-import { decode, encode } from '../src/io/codecs/cbor.js';
+import { addressOf, call, settingsFile, startNode, until, WAIT_MS } from './sim/processes.js';
 import { WireServices } from './sim/wire_services.js';
 
 /*
@@ -15,63 +9,12 @@
  * it meanwhile waits in its sockets.
  */
 
-const root = fileURLToPath(new URL('../../../', import.meta.url));
-const main = join(root, 'target/check/src/main.js');
-const WAIT_MS = 30_000;
-const LOOK_MS = 50;
-
-interface NodeAddress {
-  readonly name: string;
-  readonly port: number;
-  readonly peerPort: number;
-}
+/** The workers' lease: that of the leader is 3 s. */
+const LEASE_S = 10;
 
 /** What a worker is told; null: no answer. */
 type Told = { readonly status: number; readonly token: bigint } | null;
 
-function freePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createServer().listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
-}
-
-async function addressOf(name: string): Promise<NodeAddress> {
-  return { name, port: await freePort(), peerPort: await freePort() };
-}
-
-/** The settings of one of two nodes, with a workers' lease of 10 s: that of the leader is 3 s. */
-function settingsFile(own: NodeAddress, other: NodeAddress, servicesPort: number): string {
-  const text = readFileSync(join(root, 'test/settings.toml'), 'utf8')
-    .replace(/host_name = .*/, `host_name = "${own.name}"`)
-    .replace('127.0.0.1:18080', `127.0.0.1:${own.port}`)
-    .replace('127.0.0.1:18081', `127.0.0.1:${own.peerPort}`)
-    .replaceAll('"127.0.0.1:1"', `"127.0.0.1:${servicesPort}"`)
-    .replace(/^initial_size = .*/m, 'initial_size = 2')
-    .replace(/^lease_s = .*/m, 'lease_s = 10.0')
-    .replace(
-      '[endpoints]',
-      `[[siblings]]\nhost_name = "${other.name}"\narea = "north"\naddress = "127.0.0.1:${other.peerPort}"\n\n[endpoints]`,
-    );
-  const file = join(mkdtempSync(join(tmpdir(), 'magpielift-')), 'settings.toml');
-  writeFileSync(file, text);
-  return file;
-}
-
-function start(file: string): ChildProcess {
-  return spawn(process.execPath, [main, '--config', file], { cwd: root, stdio: 'ignore' });
-}
-
-async function until(what: string, holds: () => boolean | Promise<boolean>): Promise<void> {
-  const end = performance.now() + WAIT_MS;
-  while (!(await holds())) {
-    if (performance.now() > end) throw new Error(`not within ${WAIT_MS} ms: ${what}`);
-    await new Promise((resolve) => setTimeout(resolve, LOOK_MS));
-  }
-}
-
 /** A worker that shows one task as ended, so that its reports are answered at once. */
 class ReportingWorker {
   private seq = 0;
@@ -94,24 +37,9 @@
   }
 }
 
-function send(port: number, message: unknown, timeoutMs: number): Promise<Told> {
-  const body = encode(message);
-  return new Promise((resolve) => {
-    const outgoing = request(
-      { port, host: '127.0.0.1', method: 'POST', path: '/agent/beat', agent: false },
-      (answer) => {
-        const parts: Buffer[] = [];
-        answer.on('data', (part: Buffer) => parts.push(part));
-        answer.on('end', () => {
-          const value = decode(Buffer.concat(parts)) as { crest?: number | bigint };
-          resolve({ status: answer.statusCode ?? 0, token: BigInt(value.crest ?? 0) });
-        });
-      },
-    );
-    outgoing.on('error', () => resolve(null));
-    outgoing.setTimeout(timeoutMs, () => outgoing.destroy());
-    outgoing.end(body);
-  });
+async function send(port: number, message: unknown, timeoutMs: number): Promise<Told> {
+  const reply = await call(port, 'POST', '/agent/beat', message, timeoutMs);
+  return reply && { status: reply.status, token: BigInt((reply.body.crest as number | bigint | undefined) ?? 0) };
 }
 
 /** The token with which a node answers the worker's reports. */
@@ -131,14 +59,14 @@
   const [first, second] = [await addressOf('node-a'), await addressOf('node-b')];
   const children: ChildProcess[] = [];
   try {
-    const paused = start(settingsFile(first, second, servicesPort));
+    const paused = startNode(settingsFile(first, [second], servicesPort, { leaseS: LEASE_S }));
     children.push(paused);
     await until('node-a leads', () => services.leader() === 'node-a');
     const worker = new ReportingWorker('i-000001');
     const oldToken = await tokenFrom(worker, first.port);
     // Its machine is on record by now: nothing else would hold an answer back.
     assert.equal(await tokenFrom(worker, first.port), oldToken);
-    children.push(start(settingsFile(second, first, servicesPort)));
+    children.push(startNode(settingsFile(second, [first], servicesPort, { leaseS: LEASE_S })));
     await until('node-b answers', async () => (await new ReportingWorker('i-000002').report(second.port)) !== null);
 
     paused.kill('SIGSTOP');
--- /dev/null
+++ b/test/sim/processes.ts
@@ -0,0 +1,125 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { request } from 'node:http';
+import { type AddressInfo, createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { decode, encode } from '../../src/io/codecs/cbor.js';
+
+/* Real controller processes on loopback, and what talks to them. */
+
+export const root = fileURLToPath(new URL('../../../../', import.meta.url));
+const LOOK_MS = 50;
+export const WAIT_MS = 30_000;
+
+export interface NodeAddress {
+  readonly name: string;
+  readonly port: number;
+  readonly peerPort: number;
+}
+
+export function freePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const server = createServer().listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+}
+
+export async function addressOf(name: string): Promise<NodeAddress> {
+  return { name, port: await freePort(), peerPort: await freePort() };
+}
+
+/** What the settings of a deployment say otherwise than the example. */
+export interface Changes {
+  readonly leaseS: number;
+  readonly reportS?: number;
+}
+
+function settingsText(
+  own: NodeAddress,
+  others: readonly NodeAddress[],
+  servicesPort: number,
+  changes: Changes,
+): string {
+  const siblings = others.map(
+    ({ name, peerPort }) =>
+      `[[siblings]]\nhost_name = "${name}"\narea = "north"\naddress = "127.0.0.1:${peerPort}"\n\n`,
+  );
+  return readFileSync(join(root, 'test/settings.toml'), 'utf8')
+    .replace(/host_name = .*/, `host_name = "${own.name}"`)
+    .replace('127.0.0.1:18080', `127.0.0.1:${own.port}`)
+    .replace('127.0.0.1:18081', `127.0.0.1:${own.peerPort}`)
+    .replaceAll('"127.0.0.1:1"', `"127.0.0.1:${servicesPort}"`)
+    .replace(/^initial_size = .*/m, `initial_size = ${others.length + 1}`)
+    .replace(/^lease_s = .*/m, `lease_s = ${changes.leaseS.toFixed(1)}`)
+    .replace(/^report_s = .*/m, `report_s = ${(changes.reportS ?? 2).toFixed(1)}`)
+    .replace('[endpoints]', `${siblings.join('')}[endpoints]`);
+}
+
+/** Writes the settings of one of several nodes, and returns the file. */
+export function settingsFile(
+  own: NodeAddress,
+  others: readonly NodeAddress[],
+  servicesPort: number,
+  changes: Changes,
+): string {
+  const file = join(mkdtempSync(join(tmpdir(), 'magpielift-')), 'settings.toml');
+  writeFileSync(file, settingsText(own, others, servicesPort, changes));
+  return file;
+}
+
+/** The program and arguments with which the platform runs a node. */
+function runLine(): readonly string[] {
+  const run = /^run = "(.*)"$/m.exec(readFileSync(join(root, 'deploy/service.toml'), 'utf8'))?.[1];
+  if (!run) throw new Error('deploy/service.toml names no run line');
+  return run.split(' ');
+}
+
+/** Starts a node as the platform does: the settings file is the last argument. */
+export function startNode(file: string): ChildProcess {
+  const [program = '', ...args] = runLine();
+  return spawn(program, [...args, file], { cwd: root, stdio: 'ignore' });
+}
+
+export async function until(what: string, holds: () => boolean | Promise<boolean>, waitMs = WAIT_MS): Promise<void> {
+  const end = performance.now() + waitMs;
+  while (!(await holds())) {
+    if (performance.now() > end) throw new Error(`not within ${waitMs} ms: ${what}`);
+    await pause(LOOK_MS);
+  }
+}
+
+export const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+export interface HttpReply {
+  readonly status: number;
+  readonly body: Record<string, unknown>;
+}
+
+/** One request of its own connection; null: no answer in time. */
+export function call(
+  port: number,
+  method: 'GET' | 'POST',
+  path: string,
+  message: unknown,
+  timeoutMs: number,
+): Promise<HttpReply | null> {
+  return new Promise((resolve) => {
+    const outgoing = request({ port, host: '127.0.0.1', method, path, agent: false }, (answer) => {
+      const parts: Buffer[] = [];
+      answer.on('data', (part: Buffer) => parts.push(part));
+      answer.on('error', () => resolve(null));
+      answer.on('end', () => {
+        const bytes = Buffer.concat(parts);
+        const body = bytes.length > 0 ? (decode(bytes) as Record<string, unknown>) : {};
+        resolve({ status: answer.statusCode ?? 0, body });
+      });
+    });
+    outgoing.on('error', () => resolve(null));
+    outgoing.setTimeout(timeoutMs, () => outgoing.destroy());
+    outgoing.end(message === undefined ? undefined : encode(message));
+  });
+}
--- a/test/sim/wire_services.ts
+++ b/test/sim/wire_services.ts
@@ -18,6 +18,11 @@
   end: NodeJS.Timeout;
 }
 
+interface WireMachine {
+  readonly addr: string;
+  readonly onDeleted: () => void;
+}
+
 interface Answer {
   readonly status: number;
   readonly body: unknown;
@@ -27,11 +32,13 @@
 
 const NOT_FOUND = 404;
 const CONFLICT = 409;
+const NO_CAPACITY: Answer = { status: 503, body: { error: 'no capacity' } };
 
 /** One store and one cloud with a single machine type, on one address. */
 export class WireServices {
   private readonly entries = new Map<string, Entry>();
   private readonly leases = new Map<number, Lease>();
+  private readonly machines = new Map<string, WireMachine>();
   private changed: (() => void)[] = [];
   private revision = 1;
   private lastLease = 0;
@@ -58,6 +65,37 @@
     return data?.node ?? null;
   }
 
+  /** The fencing token of whoever holds the lead; null: nobody. */
+  leaderToken(): bigint | null {
+    const entry = this.entries.get('leader');
+    return entry ? BigInt(entry.feather) : null;
+  }
+
+  /** A machine that the cloud shows as running; `onDeleted` is called when it is returned. */
+  addMachine(id: string, addr: string, onDeleted: () => void): void {
+    this.machines.set(id, { addr, onDeleted });
+  }
+
+  removeMachine(id: string): void {
+    this.machines.delete(id);
+  }
+
+  private listMachines(parameters: URLSearchParams): Answer {
+    const after = parameters.get('after') ?? '';
+    const place = { breed: 'c8', grove: this.zone, loaners: false, mood: 'running', held_s: 100 };
+    const listed = [...this.machines].filter(([id]) => id > after);
+    return ok({ perches: listed.map(([ref, { addr }]) => ({ ref, addr, ...place })), has_next: false });
+  }
+
+  private deleteMachines(body: Fields): Answer {
+    for (const id of body.perches as string[]) {
+      const machine = this.machines.get(id);
+      this.machines.delete(id);
+      machine?.onDeleted();
+    }
+    return ok({});
+  }
+
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const parts: Buffer[] = [];
     for await (const part of request) parts.push(part as Buffer);
@@ -71,7 +109,9 @@
   private async answer(method: string, url: URL, body: Fields): Promise<Answer> {
     const { pathname, searchParams } = url;
     if (pathname === '/catalog') return ok({ breeds: [this.machineType()] });
-    if (pathname === '/hosts') return ok({ perches: [], has_next: false });
+    if (pathname === '/hosts/delete') return this.deleteMachines(body);
+    if (pathname === '/hosts' && method === 'POST') return NO_CAPACITY;
+    if (pathname === '/hosts') return this.listMachines(searchParams);
     if (pathname === '/kv') return this.list(searchParams.get('under') ?? '');
     if (pathname.startsWith('/kv/')) return this.get(pathname.slice('/kv/'.length));
     if (pathname === '/multi') return this.transaction(body);
