--- a/src/core/features.ts
+++ b/src/core/features.ts
@@ -11,7 +11,7 @@
 export const RECOVERY_OFF: Features['recovery'] = {
   enabled: false,
   record_zones: false,
-  lists_per_window: 16,
+  lists_per_window: 64,
   ask_after_ms: 0,
 };
 
--- a/src/core/leadership/earlier_terms.ts
+++ b/src/core/leadership/earlier_terms.ts
@@ -11,7 +11,7 @@
 import type { Job } from '../jobs/job.js';
 import type { Machine } from '../machines/machine.js';
 import type { Quotas } from '../scheduler/quotas.js';
-import type { JobId } from '../types.js';
+import type { JobId, ZoneName } from '../types.js';
 import type { Cluster } from './cluster.js';
 import { workerLeaseExpiryMs } from './lease_bounds.js';
 
@@ -46,7 +46,7 @@
 
   // ---- what was stored
 
-  onJobLearned(job: Job, startZones: EarlierJob['startZones']): void {
+  onJobLearned(job: Job, startZones: readonly ZoneName[] | null): void {
     this.recovery?.onRecorded(job.id);
     job.restoreZones(believedZones(job.startTerm, startZones, this.zonesKeptSince));
     if (this.isEarlier(job) && job.state !== 'done') this.jobs.add(job);
@@ -176,7 +176,6 @@
 
 function factsOf(job: Job): EarlierJob {
   const { id, team, types, zone, spotOk, cpus, gpus } = job.spec;
-  const startZones = job.startZones && [...job.startZones];
-  const { startTerm, unaccounted } = job;
+  const { startTerm, startZones, unaccounted } = job;
   return { id, team, types, zone, spotOk, cpus, gpus, startTerm, startZones, unaccounted };
 }
--- a/src/recovery/types.ts
+++ b/src/recovery/types.ts
@@ -34,7 +34,7 @@
   /** The term of its first start; 0: never started. */
   readonly startTerm: number;
   /** The only zones in which it may have been started; null: no record that may be believed says. */
-  readonly startZones: readonly ZoneName[] | null;
+  readonly startZones: ReadonlySet<ZoneName> | null;
   readonly types: readonly TypeName[] | null;
   readonly zone: ZoneName | null;
   readonly spotOk: boolean;
--- a/src/recovery/uncertain_machines.ts
+++ b/src/recovery/uncertain_machines.ts
@@ -82,7 +82,7 @@
       if (job.types !== null && !job.types.includes(type)) continue;
       if (job.zone !== null && job.zone !== zone) continue;
       if (spot && !job.spotOk) continue;
-      if (job.startZones === null || job.startZones.includes(zone)) return true;
+      if (job.startZones === null || job.startZones.has(zone)) return true;
     }
     return false;
   }
--- /dev/null
+++ b/test/recovery_properties.test.ts
@@ -0,0 +1,325 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { Attempt, ExitReason, JobId, MachineId, Steady, TeamName, TypeName, ZoneName } from '../src/core/types.js';
+import {
+  believedZones,
+  classify,
+  type EarlierJob,
+  nextTermValue,
+  Recovery,
+  ReportBacklog,
+  type StoredJob,
+} from '../src/recovery/index.js';
+import { loadOldVersions } from './sim/old_versions.js';
+import { parseScenarioText, runScenario } from './sim/scenario.js';
+
+/*
+ * Properties of recovery. Seeds are fixed; FC_SEED, FC_PATH and FC_RUNS choose others, and a failure prints the line with
+ * which it is played again. Counter-examples over whole worlds are lines of a scenario: kept, they go to test/scenarios/.
+ */
+
+const SEED = Number(process.env.FC_SEED ?? 28);
+const RUNS = Number(process.env.FC_RUNS ?? 0);
+
+function check<T>(property: fc.IProperty<T>, runs: number): void {
+  const path = process.env.FC_PATH ? { path: process.env.FC_PATH } : {};
+  const { failed, seed, counterexamplePath, counterexample, errorInstance } = fc.check(property, {
+    seed: SEED,
+    numRuns: RUNS || runs,
+    ...path,
+  });
+  if (!failed) return;
+  const replay = `FC_SEED=${seed} FC_PATH=${counterexamplePath} node --test target/check/test/recovery_properties.test.js`;
+  assert.fail(`${fc.stringify(counterexample)}\n${String(errorInstance)}\nreplay: ${replay}`);
+}
+
+// ---- what may run unseen
+
+const ZONES = ['a', 'b', 'c'] as ZoneName[];
+const MACHINES = 6;
+const JOBS = 3;
+const TASKS = 3;
+const CPUS = 8;
+const zoneOf = (machine: number): ZoneName => ZONES[machine % ZONES.length] as ZoneName;
+const nameOf = (machine: number): MachineId => `i-${machine}` as MachineId;
+const NOW = 0 as Steady;
+const TEAM = 'crew' as TeamName;
+
+interface JobState {
+  startTerm: number;
+  /** The zones that the store holds, and those that the present leader goes by; null: any. */
+  stored: ZoneName[] | null;
+  believed: ZoneName[] | null;
+  /** The machine of each task; null: it is on none. */
+  readonly places: (number | null)[];
+}
+
+type Step =
+  | { readonly kind: 'elect'; readonly keepsZones: boolean }
+  | { readonly kind: 'start'; readonly job: number; readonly task: number; readonly machine: number; writes: boolean }
+  | { readonly kind: 'end'; readonly job: number; readonly task: number };
+
+/** What is true: where tasks are, and what the store holds. Leaders come and go; some know nothing of zones. */
+class Truth {
+  leaderTerm = 0;
+  since: number | null = null;
+  readonly jobs: JobState[] = Array.from({ length: JOBS }, () => ({
+    startTerm: 0,
+    stored: null,
+    believed: null,
+    places: Array(TASKS).fill(null),
+  }));
+  private term: unknown = null;
+
+  take(step: Step): void {
+    if (step.kind === 'elect') {
+      this.elect(step.keepsZones);
+      return;
+    }
+    const job = this.jobs[step.job] as JobState;
+    if (step.kind === 'end') job.places[step.task] = null;
+    else if (job.places[step.task] === null) this.start(job, step.task, step.machine, step.writes);
+  }
+
+  elect(keepsZones: boolean): void {
+    const value = nextTermValue(this.term, keepsZones);
+    this.term = value;
+    this.leaderTerm = value.n;
+    this.since = value.zones ?? null;
+    for (const job of this.jobs) {
+      const believed = keepsZones ? believedZones(job.startTerm, job.stored, this.since) : null;
+      job.believed = believed && [...believed];
+    }
+  }
+
+  /** As a leader starts a task: what has to be on record is written first. `writes`: it has another reason to write. */
+  private start(job: JobState, task: number, machine: number, writes: boolean): void {
+    const isFirst = job.startTerm === 0;
+    if (isFirst) {
+      job.startTerm = this.leaderTerm;
+      job.believed = this.since === null ? null : [];
+    }
+    const zone = zoneOf(machine);
+    const isNewZone = job.believed !== null && !job.believed.includes(zone);
+    if (isNewZone) job.believed?.push(zone);
+    if (isFirst || isNewZone || writes) job.stored = job.believed && [...job.believed];
+    job.places[task] = machine;
+  }
+
+  unseen(job: number, listed: ReadonlySet<number>): number[] {
+    return (this.jobs[job] as JobState).places.filter((place) => place !== null && !listed.has(place)) as number[];
+  }
+
+  /** What the present leader knows of a job once these machines have told their lists. */
+  factsOf(job: number, listed: ReadonlySet<number>): EarlierJob {
+    const { startTerm, believed, places } = this.jobs[job] as JobState;
+    const found = places.filter((place) => place !== null && listed.has(place)).length;
+    const asks = { types: null, zone: null, spotOk: true, cpus: 1, gpus: 0 };
+    const startZones = believed && new Set(believed);
+    const facts = { id: `job-${job}` as JobId, team: TEAM, startTerm, startZones };
+    return { ...facts, unaccounted: TASKS - found, ...asks };
+  }
+}
+
+const step: fc.Arbitrary<Step> = fc.oneof(
+  fc.record({ kind: fc.constant('elect' as const), keepsZones: fc.boolean() }),
+  fc.record({
+    kind: fc.constant('start' as const),
+    job: fc.nat(JOBS - 1),
+    task: fc.nat(TASKS - 1),
+    machine: fc.nat(MACHINES - 1),
+    writes: fc.boolean(),
+  }),
+  fc.record({ kind: fc.constant('end' as const), job: fc.nat(JOBS - 1), task: fc.nat(TASKS - 1) }),
+);
+
+function recoveryWith(truth: Truth, listed: ReadonlySet<number>): Recovery {
+  const recovery = new Recovery({ term: truth.leaderTerm, now: NOW });
+  for (let machine = 0; machine < MACHINES; machine++) {
+    const kind = { type: 'c8' as TypeName, zone: zoneOf(machine), spot: false, cpus: CPUS, gpus: 0 };
+    recovery.addMachine({ id: nameOf(machine), ...kind });
+  }
+  recovery.onLoaded();
+  for (const machine of listed) recovery.onCertain(nameOf(machine), 'listed');
+  return recovery;
+}
+
+test('whatever runs on a machine that told nothing is held to be possible, and counts against its team', () => {
+  const listedMachines = fc.uniqueArray(fc.nat(MACHINES - 1));
+  const history = fc.array(step, { maxLength: 40 });
+  const property = fc.property(history, fc.boolean(), listedMachines, (steps, lastKeeps, listedList) => {
+    const truth = new Truth();
+    truth.elect(true);
+    for (const each of steps) truth.take(each);
+    truth.elect(lastKeeps);
+    const listed = new Set(listedList);
+    const recovery = recoveryWith(truth, listed);
+    const jobs = truth.jobs.map((_, job) => truth.factsOf(job, listed));
+    jobs.forEach((job, i) => {
+      const places = truth.unseen(i, listed);
+      if (places.length > 0) assert.ok(recovery.mayRunUnseen(job, NOW), `${job.id} runs on ${places.join(' ')}`);
+    });
+    const unseen = jobs.reduce((sum, _, job) => sum + truth.unseen(job, listed).length, 0);
+    const counted = recovery.teamExposure(jobs, NOW)?.get(TEAM)?.cpus ?? 0;
+    assert.ok(counted >= unseen, `${unseen} tasks run unseen, ${counted} count`);
+    const isAllListed = listed.size === MACHINES;
+    assert.equal(recovery.isCertain(NOW), isAllListed);
+    if (isAllListed) assert.ok(jobs.every((job) => !recovery.mayRunUnseen(job, NOW)));
+  });
+  check(property, 3000);
+});
+
+// ---- what a task is
+
+const REASONS: ExitReason[] = ['done', 'stopped', 'peers_gone', 'alone', 'error', 'no_room', 'busy', 'unknown'];
+const ended = fc.constantFrom<ExitReason | null>(null, ...REASONS);
+const attempts = fc.bigInt({ min: 1n, max: 6n }).map((value) => value as Attempt);
+const recorded = fc.record({
+  kind: fc.constant('recorded' as const),
+  cancelled: fc.boolean(),
+  taskDone: fc.boolean(),
+  isService: fc.boolean(),
+});
+const storedJob: fc.Arbitrary<StoredJob> = fc.oneof(
+  recorded,
+  fc.constantFrom<StoredJob>({ kind: 'unreadable' }, { kind: 'unread' }, { kind: 'absent' }),
+);
+const otherPlace = fc.option(fc.record({ machine: fc.constant('i-9' as MachineId), attempt: attempts }));
+
+test('nothing is concluded from what can’t be read, nothing dropped without a record, and results are recorded once', () => {
+  const property = fc.property(attempts, ended, storedJob, otherPlace, (attempt, reason, job, elsewhere) => {
+    const { action } = classify({ attempt, ended: reason, job, elsewhere });
+    if (job.kind === 'unreadable') assert.equal(action, 'leave');
+    if (job.kind === 'unread') assert.equal(action, 'readRecord');
+    if (action === 'forget') assert.notEqual(reason, null);
+    if (job.kind !== 'recorded') return;
+    const isNewResult = reason === 'done' && !job.isService && !job.taskDone && !job.cancelled;
+    assert.equal(action === 'recordResult', isNewResult);
+    if (reason === null && elsewhere === null) assert.equal(action === 'adopt', !job.cancelled && !job.taskDone);
+  });
+  check(property, 1000);
+});
+
+test('of two places of a task one alone is stopped, the same one whichever is found first', () => {
+  const property = fc.property(attempts, fc.bigInt({ min: 1n, max: 6n }), recorded, (lower, by, job) => {
+    const machine = 'i-9' as MachineId;
+    const higher = (lower + by) as Attempt;
+    const found = (attempt: Attempt, first: Attempt): string =>
+      classify({ attempt, ended: null, job, elsewhere: { machine, attempt: first } }).action;
+    assert.equal(found(lower, higher), 'stop');
+    assert.equal(found(higher, lower), 'adoptAndStopOther');
+  });
+  check(property, 300);
+});
+
+// ---- the storm
+
+test('lists take turns: no more than so many in a window, and the newest of each machine is looked at in the end', () => {
+  const arrivals = fc.array(fc.record({ afterMs: fc.nat(20), machine: fc.nat(8) }), { maxLength: 200 });
+  const property = fc.property(fc.integer({ min: 1, max: 5 }), arrivals, (perWindow, steps) => {
+    const backlog = new ReportBacklog<{ machine: number; number: number }>(perWindow);
+    const looked: { at: number; machine: number; number: number }[] = [];
+    const newest = new Map<number, number>();
+    let now = 0;
+    const drain = (): void => {
+      for (const list of backlog.takeDue(now as Steady)) looked.push({ at: now, ...list });
+    };
+    steps.forEach(({ afterMs, machine }, number) => {
+      now += afterMs;
+      drain();
+      newest.set(machine, number);
+      if (backlog.admit(now as Steady)) {
+        backlog.drop(nameOf(machine));
+        looked.push({ at: now, machine, number });
+      } else backlog.add(nameOf(machine), { machine, number });
+      assert.ok(backlog.size <= newest.size);
+    });
+    for (let next = backlog.nextAt(); next !== null; next = backlog.nextAt()) {
+      now = next;
+      drain();
+    }
+    for (const [machine, number] of newest) {
+      assert.equal(looked.filter((list) => list.machine === machine).at(-1)?.number, number);
+    }
+    for (const { at } of looked) {
+      // A window of 50 ms may begin anywhere: two of them touch any other.
+      const within = looked.filter((list) => list.at >= at && list.at < at + 50).length;
+      assert.ok(within <= 2 * perWindow, `${within} lists in 50 ms`);
+    }
+  });
+  check(property, 500);
+});
+
+// ---- whole worlds
+
+const oldVersions = await loadOldVersions();
+
+const MACHINE_LINES = 'versions present\nzones a b\nmachines 2 c8 a\nmachines 2 c8 b\ncapacity 4\n';
+const JOB_LINES = [
+  'at 2 submit job-1 array tasks=20 run=25',
+  'at 3 submit job-2 gang tasks=3 cpus=2 run=30 checkpoint=5',
+  'at 4 submit job-3 array tasks=12 run=8 spread',
+  'at 5 submit job-4 service tasks=2 cpus=1 run=1000 estimate=0',
+];
+const END_LINES = ['at 200 cancel job-4', 'until 330'];
+
+const seconds = (from: number, to: number): fc.Arbitrary<number> =>
+  fc.integer({ min: from * 2, max: to * 2 }).map((half) => half / 2);
+const machineName = fc.nat(3).map((number) => `i-00000${number}`);
+const line = (...parts: fc.Arbitrary<string | number>[]): fc.Arbitrary<string> =>
+  fc.tuple(seconds(8, 90), ...parts).map(([at, ...words]) => `at ${at} ${words.join(' ')}`);
+const word = (text: string): fc.Arbitrary<string> => fc.constant(text);
+
+const coldStart = line(word('crash all'), seconds(0.5, 25));
+const trouble = fc.oneof(
+  coldStart,
+  line(word('crash leader'), seconds(0.5, 6)),
+  line(word('crash-at'), fc.constantFrom('before-take', 'after-take'), word('2 0.2')),
+  line(word('cut'), machineName, word('*'), seconds(2, 25), fc.constantFrom('hold', 'drop')),
+  line(word('take'), machineName),
+  line(word('hang'), machineName, seconds(1, 20)),
+  line(word('duplicate-reports'), seconds(5, 40)),
+  line(word('hold-reports'), machineName, seconds(2, 20)),
+  line(word('late-writes 0.3'), seconds(2, 15)),
+  line(word('outage'), seconds(1, 15)),
+  line(word('refuse leader'), seconds(2, 15)),
+  line(word('cancel'), fc.constantFrom('job-1', 'job-2', 'job-3')),
+  line(word('downgrade perch-1 latest'), seconds(0.5, 3)),
+);
+
+function play(lines: readonly string[]): ReturnType<typeof runScenario> {
+  const text = [MACHINE_LINES, ...JOB_LINES, ...lines, ...END_LINES].join('\n');
+  return runScenario(parseScenarioText('generated', `# generated\n${text}\n`), oldVersions);
+}
+
+test('after any troubles round cold starts no rule is broken, and every job has one final answer', () => {
+  const troubles = fc.tuple(coldStart, fc.array(trouble, { minLength: 1, maxLength: 6 }));
+  const property = fc.property(troubles, ([first, rest]) => {
+    const { world, failures } = play([first, ...rest]);
+    const open = ['job-1', 'job-2', 'job-3', 'job-4'].filter((id) => {
+      return world.rules.isAccepted(id as JobId) && !world.rules.finalOf(id as JobId);
+    });
+    assert.deepEqual([...failures, ...world.errors, ...open], []);
+    assert.equal(world.leader()?.recoverySummary()?.uncertainMachines ?? 0, 0);
+  });
+  check(property, 60);
+});
+
+test('where truth and record agree nothing is stopped and nothing begun twice, however often all controllers fall', () => {
+  const fall = fc.tuple(seconds(8, 60), seconds(0.5, 7)).map(([at, back]) => `at ${at} crash all ${back}`);
+  const property = fc.property(fc.array(fall, { minLength: 1, maxLength: 3 }), (falls) => {
+    const { world } = play(falls);
+    // Falls that meet may keep all controllers away for longer than a lease.
+    fc.pre(world.leasesLost === 0);
+    assert.deepEqual(world.rules.broken, []);
+    const tasks = new Map([
+      ['job-1', 20],
+      ['job-2', 3],
+      ['job-3', 12],
+      ['job-4', 2],
+    ]);
+    for (const [id, count] of tasks) assert.ok((world.rules.startsByJob.get(id as JobId) ?? 0) <= count, id);
+  });
+  check(property, 30);
+});
--- a/test/sim/scenario.ts
+++ b/test/sim/scenario.ts
@@ -45,17 +45,20 @@
 ]);
 
 export function parseScenario(file: string): Scenario {
+  return parseScenarioText(file, readFileSync(file, 'utf8'));
+}
+
+/** `file`: what problems are said of. */
+export function parseScenarioText(file: string, text: string): Scenario {
   const lines: ScenarioLine[] = [];
   let title = file;
-  readFileSync(file, 'utf8')
-    .split('\n')
-    .forEach((line, i) => {
-      if (i === 0 && line.startsWith('#')) title = line.slice(1).trim();
-      const words = line.replace(/#.*/, '').trim().split(/\s+/).filter(Boolean);
-      if (words.length === 0) return;
-      if (!STATEMENTS.has(words[0] as string)) throw new Error(`${file}:${i + 1}: no statement ${words[0]}`);
-      lines.push({ number: i + 1, words });
-    });
+  text.split('\n').forEach((line, i) => {
+    if (i === 0 && line.startsWith('#')) title = line.slice(1).trim();
+    const words = line.replace(/#.*/, '').trim().split(/\s+/).filter(Boolean);
+    if (words.length === 0) return;
+    if (!STATEMENTS.has(words[0] as string)) throw new Error(`${file}:${i + 1}: no statement ${words[0]}`);
+    lines.push({ number: i + 1, words });
+  });
   return { file, title, lines };
 }
 
--- a/test/sim/scenario_events.ts
+++ b/test/sim/scenario_events.ts
@@ -63,13 +63,17 @@
   return ms;
 }
 
-/** At which step of an election a node ends: before or after its lease is granted, or its transaction carried out. */
+/** At which call a node ends: before or after its lease is granted, or a transaction carried out. */
 const TRIPS: Readonly<Record<string, (op: StoreOp, carriedOut: boolean) => boolean>> = {
   'before-grant': (op, after) => op.op === 'grant' && !after,
   'after-grant': (op, after) => op.op === 'grant' && after,
   'before-take': (op, after) => takesLead(op) && !after,
   'after-take': (op, after) => takesLead(op) && after,
+  'before-results': (op, after) => writesResults(op) && !after,
 };
+const writesResults = (op: StoreOp): boolean =>
+  op.op === 'txn' && op.changes.some((change) => 'put' in change && hasResults(change.value));
+const hasResults = (value: unknown): boolean => ((value as { done?: unknown[] }).done?.length ?? 0) > 0;
 const takesLead = (op: StoreOp): boolean =>
   op.op === 'txn' && op.changes.some((change) => 'put' in change && change.put === 'leader');
 
@@ -282,7 +286,7 @@
     };
     next(0);
   },
-  /** crash-at STEP TIMES BACK: whoever next gets to this step of an election ends there, and is back after BACK seconds */
+  /** crash-at STEP TIMES BACK: whoever next gets to this step ends there, and is back after BACK seconds */
   'crash-at'(world, [step, times, back]) {
     const hits = TRIPS[step ?? ''];
     if (!hits) throw new Error(`no step ${step}`);
