--- a/src/core/leadership/leader.ts
+++ b/src/core/leadership/leader.ts
@@ -4,24 +4,25 @@
 import { Autoscaler } from '../machines/autoscaler.js';
 import type { MachineTypes } from '../machines/catalog.js';
 import { HealthChecks } from '../machines/health_checks.js';
-import { Machine } from '../machines/machine.js';
+import type { Machine } from '../machines/machine.js';
 import { Registry } from '../machines/registry.js';
 import type { StoredItem } from '../messages.js';
-import { jobKey, type MachineRecord } from '../records.js';
 import type { TaskCounts } from '../requests/job_reader.js';
 import { migrateToCachedImages } from '../scheduler/migration.js';
 import { preempt } from '../scheduler/preemption.js';
 import { scheduleRound } from '../scheduler/round.js';
 import { placeServices } from '../scheduler/services.js';
-import type { JobId, MachineId, Steady, WorkerReport } from '../types.js';
+import type { JobId, Steady, WorkerReport } from '../types.js';
 import { CommandSender } from '../workers/command_sender.js';
 import { Reconciliation } from '../workers/reconciliation.js';
 import { ReportHandler, type ReportReply } from '../workers/report_handler.js';
 import { Cluster } from './cluster.js';
 import type { Election, Leadership } from './election.js';
 import { maxJobViewAgeMs } from './lease_bounds.js';
+import { RecordLookup } from './record_lookup.js';
 import { RecordWriter } from './record_writer.js';
 import { StateLoader } from './state_loader.js';
+import { StateRestorer } from './state_restorer.js';
 
 const HEALTH_CHECK_MS = 1000;
 const FIRST_ROUND_MS = 50;
@@ -33,9 +34,6 @@
 /** A start is based on a view of jobs that is at most so old: a cancellation may be on record since. */
 const START_VIEW_MS = 4000;
 
-/** Of reads that only workers' tasks wait for. */
-const RECORD_READ_PRIORITY = 2;
-
 const OWN_TIMERS: readonly TimerName[] = [
   'round',
   'recordFlush',
@@ -80,6 +78,8 @@
   private readonly healthChecks: HealthChecks;
   private readonly registry: Registry;
   private readonly loader: StateLoader;
+  private readonly restorer: StateRestorer;
+  private readonly recordLookup: RecordLookup;
   private readonly leadingSince: Steady;
   private loaded = false;
   private stopped = false;
@@ -98,7 +98,6 @@
   ) {
     this.leadingSince = ctx.now.steady;
     this.cluster = new Cluster(ctx, leadership.term, leadership.zonesKeptSince);
-    this.cluster.unreadableJobs = jobCache.unreadable;
     this.cluster.types = types;
     this.registry = new Registry(ctx.settings.store.valueBytes);
     this.recordWriter = new RecordWriter(this.cluster, leadership, this.registry, {
@@ -114,6 +113,11 @@
     this.commandSender = new CommandSender(this.cluster, leadership.token, this.reconciliation, this);
     this.healthChecks = new HealthChecks(this.cluster, () => this.scheduleRoundSoon());
     this.autoscaler = new Autoscaler(this.cluster, this.recordWriter);
+    // Earlier leaders answered nobody after this one took the lead; it has itself answered some while it read the state.
+    this.restorer = new StateRestorer(this.cluster, this.registry, jobCache, (machine) =>
+      this.reportHandler.renewedWhileLoading.lastOf(machine, this.leadingSince),
+    );
+    this.recordLookup = new RecordLookup(ctx, jobCache, this.cluster.earlierTerms);
     this.loader = new StateLoader(ctx, jobCache, (pages) => this.takeOver(pages));
     this.loadState();
     ctx.timers.set('healthChecks', ctx.after(HEALTH_CHECK_MS));
@@ -131,6 +135,7 @@
   stop(): void {
     this.stopped = true;
     this.loader.stop();
+    this.recordLookup.stop();
     this.recordWriter.stop();
     this.reconciliation.stop();
     this.commandSender.stop();
@@ -186,56 +191,15 @@
   }
 
   private takeOver(pages: readonly StoredItem[]): void {
-    for (const job of this.jobCache.all()) this.cluster.learnJob(job.record, job.version);
-    for (const item of pages) {
-      const page = this.registry.load(item);
-      if (!page.complete) this.onUnreadablePage(item.key);
-      for (const record of page.machines) this.restoreMachine(record, item.key);
-    }
-    this.registry.spreadAll();
+    this.restorer.restore(pages);
     this.loaded = true;
-    this.ctx.log('info', 'state read', { jobs: this.jobCache.size, machines: this.machineCount });
-    this.cluster.earlierTerms.onLoaded(this.jobCache.unreadable.size);
     this.autoscaler.listMachines();
-    this.ctx.timers.set('reconciliation', this.ctx.after(this.ctx.features.recovery.ask_after_ms));
+    if (this.cluster.earlierTerms.recovery === null) this.reconciliation.reconcileAll();
+    else this.ctx.timers.set('reconciliation', this.ctx.after(this.ctx.features.recovery.ask_after_ms));
     this.ctx.timers.set('round', this.ctx.after(FIRST_ROUND_MS));
     this.ctx.timers.set('healthChecks', this.ctx.after(FIRST_HEALTH_CHECK_MS));
   }
 
-  private onUnreadablePage(key: string): void {
-    this.ctx.log('error', 'registry page not understood: left as it is', { key });
-    this.cluster.earlierTerms.onUnreadablePage();
-  }
-
-  private restoreMachine(record: MachineRecord, key: string): void {
-    if (this.cluster.machines.has(record.id)) {
-      this.registry.rewriteWithoutDuplicates(key);
-      return;
-    }
-    const type = this.cluster.types.get(record.type);
-    // A record that isn't understood stays as it is: its page is never written without it.
-    if (!type) {
-      this.registry.keepUnknown(key, record);
-      return;
-    }
-    const now = this.ctx.now.steady;
-    const { id, zone, spot, addr } = record;
-    // Rented by an earlier leader and not known to be up: it may still boot (boots-leader-change.txt), or have come up just
-    // now, so that it counts as unreconciled all the same.
-    const phase = addr === '' ? 'booting' : 'up';
-    const machine = new Machine({ id, type, zone, spot, addr, reconciled: false, phase, now });
-    machine.images.restore(record.images, record.fetchSpeed, this.cluster.imageGb, now);
-    if (this.cluster.earlierTerms.recovery) machine.leaseRenewedAt = this.lastRenewalOf(id);
-    this.cluster.machines.set(id, machine);
-    this.registry.restore(machine, key);
-    this.cluster.earlierTerms.onMachineRestored(machine);
-  }
-
-  /** Earlier leaders answered nobody after this one took the lead; it has itself answered some while it read the state. */
-  private lastRenewalOf(machine: MachineId): Steady {
-    return this.reportHandler.renewedWhileLoading.lastOf(machine, this.leadingSince);
-  }
-
   /** The cache has a newer record of a job: a submission, a cancellation, or what this leader wrote itself. */
   onJobRecord(job: CachedJob): void {
     if (!this.loaded || this.stopped) return;
@@ -268,18 +232,8 @@
     if (this.isLeaseValid()) this.reconciliation.reconcileAll();
   }
 
-  /** Whether jobs that only workers know of are on record. */
   readSuspectedOrphans(): void {
-    for (const id of this.cluster.earlierTerms.takeRecordsToRead()) this.readJobRecord(id);
-  }
-
-  private readJobRecord(id: JobId): void {
-    this.ctx.store({ op: 'get', key: jobKey(id) }, RECORD_READ_PRIORITY, (result) => {
-      if (this.stopped) return;
-      const item = result.ok ? (result.value.item ?? null) : null;
-      if (item) this.jobCache.update(item);
-      this.cluster.earlierTerms.onRecordRead(id, result.ok ? item !== null : null);
-    });
+    this.recordLookup.readSuspected();
   }
 
   recoverySummary(): RecoverySummary | null {
--- a/src/io/codecs/worker_codec.ts
+++ b/src/io/codecs/worker_codec.ts
@@ -57,9 +57,18 @@
   };
 }
 
+/** The same start twice in one list is no list: which of the two holds can't be told. */
+function refuseRepeatedTasks(tasks: readonly TaskReport[]): void {
+  if (tasks.length < 2) return;
+  const seen = new Set(tasks.map(({ job, index, attempt }) => `${job}/${index}/${attempt}`));
+  if (seen.size < tasks.length) throw new WireError('chicks names a task twice');
+}
+
 /** Reads a worker's report; throws `WireError`, naming the field, where it is malformed. */
 export function decodeReport(raw: unknown): WorkerReport {
   const fields = asFields(raw, 'report');
+  const tasks = list(fields, 'chicks').map(decodeTask);
+  refuseRepeatedTasks(tasks);
   return {
     machine: text(fields, 'perch') as MachineId,
     addr: text(fields, 'addr'),
@@ -70,7 +79,7 @@
     seq: uint64(fields, 'chirp') as Seq,
     token: uint64(fields, 'crest') as Token,
     noticeS: amountOrNull(fields, 'warning_s'),
-    tasks: list(fields, 'chicks').map(decodeTask),
+    tasks,
   };
 }
 
--- /dev/null
+++ b/test/measure/cold_start.ts
@@ -0,0 +1,154 @@
+import { type Histogram, build as makeHistogram } from 'hdr-histogram-js';
+import type { MachineId, TeamName, TypeName, ZoneName } from '../../src/core/types.js';
+import { type Build, FEATURES_OFF, PRESENT } from '../sim/build.js';
+import { Controller } from '../sim/controller.js';
+import { makeSpec } from '../sim/job_options.js';
+import { loadOldVersions } from '../sim/old_versions.js';
+import { events } from '../sim/scenario_events.js';
+import { LIMITS, World } from '../sim/world.js';
+
+/*
+ * Measures a cold start on stand-ins: all controllers end at once and are back 5 s later, while one machine in a hundred
+ * vanishes, or none does. The same seeds for the version in production and this one, with recovery off and on.
+ *   node target/check/test/measure/cold_start.js [WORKERS ...]
+ */
+
+const CRASH_S = 40;
+const BACK_S = 5;
+const END_S = 100;
+/** Jobs differ in how long their tasks run, so that some end at any time. */
+const SHORTEST_RUN_S = 25;
+const RUN_STEP_S = 5;
+const RUN_STEPS = 10;
+const SLOTS = 8;
+const VANISHING_SHARE = 0.01;
+const LOOK_MS = 20;
+const ZONES = ['a', 'b', 'c'] as ZoneName[];
+const C8 = { name: 'c8' as TypeName, cpus: SLOTS, gpus: 0, memGb: 32, cacheGb: 50, fetchGbPerS: 0.5, price: 0.4 };
+const TYPES = [{ ...C8, spotPrice: 0.1, bootS: 20, zones: ZONES }];
+const TEAMS = [{ name: 'crew' as TeamName, cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 }];
+
+/** Processor time of the controllers' steps, in microseconds. */
+let stepMicros = 0;
+
+function meterSteps(): void {
+  const { step } = Controller.prototype;
+  Controller.prototype.step = function (input) {
+    const before = process.cpuUsage();
+    step.call(this, input);
+    const { user, system } = process.cpuUsage(before);
+    stepMicros += user + system;
+  };
+}
+
+function makeWorld(workers: number, build: Build, oldVersions: ReadonlyMap<string, Build>): World {
+  const limits = { ...LIMITS, rps: 500, writeRps: 50, cloudRps: 8, reportMs: 2500, leaseMs: 15_250, cancelMs: 40_250 };
+  const { tuning } = PRESENT;
+  const sizes = { seed: 7, nodes: 5, capacity: workers, zones: ZONES, teams: TEAMS, types: TYPES };
+  const world = new World({ ...sizes, tuning, limits, builds: [build], oldVersions });
+  for (let i = 0; i < workers; i++) {
+    world.cloud.add(TYPES[0] as (typeof TYPES)[0], ZONES[i % ZONES.length] as ZoneName, false, 1);
+  }
+  return world;
+}
+
+/** Arrays that fill all machines twice over; every other one has to be in one zone. */
+function submitWork(world: World, workers: number): void {
+  const jobs = Math.max(4, Math.ceil(workers / 20));
+  const tasks = Math.ceil((workers * SLOTS * 2) / jobs);
+  for (let i = 0; i < jobs; i++) {
+    const runS = SHORTEST_RUN_S + RUN_STEP_S * (i % RUN_STEPS);
+    const options: Record<string, string> = { tasks: String(tasks), estimate: String(runS) };
+    if (i % 2 === 0) options.sameZone = 'yes';
+    world.clock.in(2000 + i * 5, () => world.submit(makeSpec(`job-${100 + i}`, 'array', options), runS * 1000));
+  }
+}
+
+interface Measured {
+  readonly renewed: Histogram;
+  firstStartS: number;
+  leasesLost: number;
+  restarted: number;
+}
+
+/** Watches the workers' side: when each was first answered by the new leader, and the first start after that. */
+function watch(world: World, lost: ReadonlySet<MachineId>): Measured {
+  const renewed = makeHistogram({ highestTrackableValue: 120_000, numberOfSignificantValueDigits: 3 });
+  const measured: Measured = { renewed, firstStartS: Number.NaN, leasesLost: 0, restarted: 0 };
+  const before = world.state.item('leader')?.version;
+  const waiting = new Set([...world.workers.keys()].filter((id) => !lost.has(id)));
+  let ledAt: number | null = null;
+  const look = (): void => {
+    if (world.clock.now < END_S * 1000) world.clock.in(LOOK_MS, look);
+    const leader = world.state.item('leader');
+    if (!leader || leader.version === before) return;
+    ledAt ??= world.clock.now;
+    const sinceMs = world.clock.now - ledAt;
+    for (const id of waiting) {
+      if ((world.workers.get(id)?.token ?? 0n) !== (leader.version as bigint)) continue;
+      renewed.recordValue(sinceMs);
+      waiting.delete(id);
+    }
+    const isFirstStart = Number.isNaN(measured.firstStartS) && world.orders.of('start') > 0;
+    if (isFirstStart) measured.firstStartS = sinceMs / 1000;
+  };
+  look();
+  return measured;
+}
+
+function startsOfBegun(world: World): number {
+  let begun = 0;
+  for (const [id, starts] of world.rules.startsByJob) {
+    begun += Math.max(0, starts - (world.rules.submitted.get(id)?.tasks ?? 0));
+  }
+  return begun;
+}
+
+function measure(workers: number, build: Build, vanish: boolean, oldVersions: ReadonlyMap<string, Build>): string {
+  const world = makeWorld(workers, build, oldVersions);
+  submitWork(world, workers);
+  world.startNodes();
+  world.clock.runUntil(CRASH_S * 1000 - 1);
+  const leasesBefore = world.leasesLost;
+  const lost = new Set([...world.workers.keys()].slice(0, vanish ? Math.ceil(workers * VANISHING_SHARE) : 0));
+  events.crash?.(world, ['all', String(BACK_S)]);
+  for (const id of lost) world.cloud.take(id);
+  world.orders.reset();
+  const measured = watch(world, lost);
+  stepMicros = 0;
+  world.clock.runUntil(END_S * 1000);
+  const { renewed, firstStartS } = measured;
+  const orders = (['start', 'stop', 'forget', 'inquiry'] as const).map((kind) => world.orders.of(kind)).join('/');
+  const restarted = Math.max(0, startsOfBegun(world));
+  const times = [renewed.getValueAtPercentile(50), renewed.getValueAtPercentile(99), renewed.maxValue];
+  const told = times.map((ms) => (ms / 1000).toFixed(2)).join('/');
+  const summary = world.leader()?.recoverySummary();
+  const certainS = summary?.finishedAt ? ((summary.finishedAt - summary.startedAt) / 1000).toFixed(2) : '-';
+  const cells = [
+    workers,
+    vanish ? '1 %' : 'none',
+    build.name,
+    orders,
+    restarted,
+    told,
+    firstStartS.toFixed(2),
+    certainS,
+  ];
+  const losses = `${world.leasesLost - leasesBefore}/${world.rules.broken.length}`;
+  return `| ${[...cells, losses, (stepMicros / 1e6).toFixed(2)].join(' | ')} |`;
+}
+
+const sizes = process.argv.slice(2).map(Number);
+const oldVersions = await loadOldVersions();
+const production = oldVersions.get('production');
+if (!production) throw new Error('the version in production is not built');
+meterSteps();
+console.log(
+  '| workers | vanish | build | start/stop/forget/inquiry | begun again | renewed p50/p99/max s | first start s |',
+);
+console.log('  certain s | leases lost/rules broken | steps, s of processor time |');
+for (const workers of sizes.length > 0 ? sizes : [30, 600, 4000]) {
+  for (const vanish of [false, true]) {
+    for (const build of [production, FEATURES_OFF, PRESENT]) console.log(measure(workers, build, vanish, oldVersions));
+  }
+}
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -147,6 +147,15 @@
   assert.deepEqual([got.status, got.body], [200, { crest: 5n, calls: [] }]);
   assert.equal(reports.at(-1)?.machine, 'i-1');
   assert.equal((await ask('POST', '/agent/beat', encode({ ...report, roost: 'x' }))).status, 400);
+  const task = { chick: 'job-1/0', hop: 3, mood: 'running' };
+  const withTasks = (...chicks: unknown[]): Promise<Got> => ask('POST', '/agent/beat', encode({ ...report, chicks }));
+  const taken = reports.length;
+  assert.equal((await withTasks({ ...task, mood: 'dreaming' })).status, 400);
+  assert.equal((await withTasks({ ...task, hop: undefined })).status, 400);
+  assert.equal((await withTasks(task, { ...task, mood: 'exited', cause: 'done' })).status, 400);
+  assert.equal(reports.length, taken);
+  // A refused start is shown beside the attempt that is there.
+  assert.equal((await withTasks(task, { ...task, hop: 4, mood: 'exited', cause: 'in_use' })).status, 200);
 });
 
 test('connections that say nothing don’t keep others out', async () => {
