--- a/src/core/leadership/leader.ts
+++ b/src/core/leadership/leader.ts
@@ -1,12 +1,12 @@
+import type { RecoverySummary } from '../../recovery/index.js';
 import type { Context, TimerName } from '../context.js';
 import type { CachedJob, JobCache } from '../jobs/job_cache.js';
 import { Autoscaler } from '../machines/autoscaler.js';
 import type { MachineTypes } from '../machines/catalog.js';
 import { HealthChecks } from '../machines/health_checks.js';
-import { Machine } from '../machines/machine.js';
+import type { Machine } from '../machines/machine.js';
 import { Registry } from '../machines/registry.js';
 import type { StoredItem } from '../messages.js';
-import type { MachineRecord } from '../records.js';
 import type { TaskCounts } from '../requests/job_reader.js';
 import { migrateToCachedImages } from '../scheduler/migration.js';
 import { preempt } from '../scheduler/preemption.js';
@@ -15,12 +15,15 @@
 import type { JobId, Steady, WorkerReport } from '../types.js';
 import { CommandSender } from '../workers/command_sender.js';
 import { Reconciliation } from '../workers/reconciliation.js';
-import { ReportHandler, type ReportReply } from '../workers/report_handler.js';
+import { ReportHandler } from '../workers/report_handler.js';
+import type { ReportReply } from '../workers/unread_lists.js';
 import { Cluster } from './cluster.js';
 import type { Election, Leadership } from './election.js';
 import { maxJobViewAgeMs } from './lease_bounds.js';
+import { RecordLookup } from './record_lookup.js';
 import { RecordWriter } from './record_writer.js';
 import { StateLoader } from './state_loader.js';
+import { StateRestorer } from './state_restorer.js';
 
 const HEALTH_CHECK_MS = 1000;
 const FIRST_ROUND_MS = 50;
@@ -40,6 +43,8 @@
   'workerCommands',
   'loadState',
   'servicePlacement',
+  'reportBacklog',
+  'reconciliation',
 ];
 
 /** What the leader's parts ask of it. */
@@ -56,6 +61,8 @@
   writesInFlight(): boolean;
   registerMachine(machine: Machine): void;
   scheduleRoundSoon(): void;
+  /** Jobs that workers report and that aren't known are looked up. */
+  readSuspectedOrphans(): void;
 }
 
 /**
@@ -72,6 +79,8 @@
   private readonly healthChecks: HealthChecks;
   private readonly registry: Registry;
   private readonly loader: StateLoader;
+  private readonly restorer: StateRestorer;
+  private readonly recordLookup: RecordLookup;
   private readonly leadingSince: Steady;
   private loaded = false;
   private stopped = false;
@@ -89,7 +98,7 @@
     private readonly seed: number,
   ) {
     this.leadingSince = ctx.now.steady;
-    this.cluster = new Cluster(ctx, leadership.term);
+    this.cluster = new Cluster(ctx, leadership.term, leadership.zonesKeptSince);
     this.cluster.types = types;
     this.registry = new Registry(ctx.settings.store.valueBytes);
     this.recordWriter = new RecordWriter(this.cluster, leadership, this.registry, {
@@ -105,6 +114,11 @@
     this.commandSender = new CommandSender(this.cluster, leadership.token, this.reconciliation, this);
     this.healthChecks = new HealthChecks(this.cluster, () => this.scheduleRoundSoon());
     this.autoscaler = new Autoscaler(this.cluster, this.recordWriter);
+    // Earlier leaders answered nobody after this one took the lead; it has itself answered some while it read the state.
+    this.restorer = new StateRestorer(this.cluster, this.registry, jobCache, (machine) =>
+      this.reportHandler.renewedWhileLoading.lastOf(machine, this.leadingSince),
+    );
+    this.recordLookup = new RecordLookup(ctx, jobCache, this.cluster.earlierTerms);
     this.loader = new StateLoader(ctx, jobCache, (pages) => this.takeOver(pages));
     this.loadState();
     ctx.timers.set('healthChecks', ctx.after(HEALTH_CHECK_MS));
@@ -122,6 +136,7 @@
   stop(): void {
     this.stopped = true;
     this.loader.stop();
+    this.recordLookup.stop();
     this.recordWriter.stop();
     this.reconciliation.stop();
     this.commandSender.stop();
@@ -177,44 +192,15 @@
   }
 
   private takeOver(pages: readonly StoredItem[]): void {
-    for (const job of this.jobCache.all()) this.cluster.learnJob(job.record, job.version);
-    for (const item of pages) {
-      const page = this.registry.load(item);
-      if (!page.complete) this.ctx.log('error', 'registry page not understood: left as it is', { key: item.key });
-      for (const record of page.machines) this.restoreMachine(record, item.key);
-    }
-    this.registry.spreadAll();
+    this.restorer.restore(pages);
     this.loaded = true;
-    this.ctx.log('info', 'state read', { jobs: this.jobCache.size, machines: this.machineCount });
-    this.cluster.updateUnreconciled();
     this.autoscaler.listMachines();
-    this.reconciliation.reconcileAll();
+    if (this.cluster.earlierTerms.recovery === null) this.reconciliation.reconcileAll();
+    else this.ctx.timers.set('reconciliation', this.ctx.after(this.ctx.features.recovery.ask_after_ms));
     this.ctx.timers.set('round', this.ctx.after(FIRST_ROUND_MS));
     this.ctx.timers.set('healthChecks', this.ctx.after(FIRST_HEALTH_CHECK_MS));
   }
 
-  private restoreMachine(record: MachineRecord, key: string): void {
-    if (this.cluster.machines.has(record.id)) {
-      this.registry.rewriteWithoutDuplicates(key);
-      return;
-    }
-    const type = this.cluster.types.get(record.type);
-    // A record that isn't understood stays as it is: its page is never written without it.
-    if (!type) {
-      this.registry.keepUnknown(key, record);
-      return;
-    }
-    const now = this.ctx.now.steady;
-    const { id, zone, spot, addr } = record;
-    // Rented by an earlier leader and not known to be up: it may still boot (boots-leader-change.txt), or have come up just
-    // now, so that it counts as unreconciled all the same.
-    const phase = addr === '' ? 'booting' : 'up';
-    const machine = new Machine({ id, type, zone, spot, addr, reconciled: false, phase, now });
-    machine.images.restore(record.images, record.fetchSpeed, this.cluster.imageGb, now);
-    this.cluster.machines.set(id, machine);
-    this.registry.restore(machine, key);
-  }
-
   /** The cache has a newer record of a job: a submission, a cancellation, or what this leader wrote itself. */
   onJobRecord(job: CachedJob): void {
     if (!this.loaded || this.stopped) return;
@@ -239,6 +225,22 @@
     this.reportHandler.releaseHeld();
   }
 
+  takeBacklog(): void {
+    this.reportHandler.takeBacklog();
+  }
+
+  reconcileSilentMachines(): void {
+    if (this.isLeaseValid()) this.reconciliation.reconcileAll();
+  }
+
+  readSuspectedOrphans(): void {
+    this.recordLookup.readSuspected();
+  }
+
+  recoverySummary(): RecoverySummary | null {
+    return this.cluster.earlierTerms.summary();
+  }
+
   sendCommands(): void {
     this.commandSender.send();
   }
@@ -284,6 +286,7 @@
     }
     if (!this.loaded) return;
     this.healthChecks.run();
+    this.cluster.earlierTerms.finishIfCertain();
     this.reconciliation.probe();
     this.autoscaler.returnMachines(this.leadingSince);
     this.registry.collectHints();
--- a/src/core/workers/report_handler.ts
+++ b/src/core/workers/report_handler.ts
@@ -1,3 +1,4 @@
+import { LeaseRenewals } from '../../recovery/index.js';
 import type { Context } from '../context.js';
 import type { Cluster } from '../leadership/cluster.js';
 import type { LeaderState } from '../leadership/leader.js';
@@ -8,6 +9,7 @@
 import type { Reconciliation } from './reconciliation.js';
 import { isNewer } from './report_processing.js';
 import { isGangStartDue, mayStart } from './start_checks.js';
+import { type ReportReply, type UnreadList, UnreadLists } from './unread_lists.js';
 
 /** A report is held for so long at most for records and rounds that its answer waits for. */
 const HOLD_MS = 600;
@@ -18,8 +20,6 @@
 /** A worker shows a new token with its next report or the one after; what goes on without it isn't listening. */
 const MAX_STALE_TOKEN_REPORTS = 4;
 
-export type ReportReply = (answer: WorkerAnswer) => void;
-
 interface HeldReport {
   readonly reply: ReportReply;
   readonly machine: Machine;
@@ -35,6 +35,9 @@
 export class ReportHandler {
   private readonly ctx: Context;
   private held: HeldReport[] = [];
+  private readonly unreadLists: UnreadLists;
+  /** When reports were last answered before it was known which machines there are. */
+  readonly renewedWhileLoading = new LeaseRenewals();
   private duplicates = 0;
 
   constructor(
@@ -44,11 +47,16 @@
     private readonly leader: LeaderState,
   ) {
     this.ctx = cluster.ctx;
+    this.unreadLists = new UnreadLists(this.ctx, {
+      take: (list) => this.takeWaiting(list),
+      renewal: () => (this.mayAnswer() ? this.emptyAnswer : UNAVAILABLE),
+    });
   }
 
   stop(): void {
     for (const { reply } of this.held) reply(UNAVAILABLE);
     this.held = [];
+    this.unreadLists.stop();
   }
 
   /** Whether answers may renew workers' leases. */
@@ -56,14 +64,19 @@
     return this.leader.isLeaseValid() && this.leader.hasRecentJobView();
   }
 
+  /** Renews the lease and says nothing else. */
+  private get emptyAnswer(): WorkerAnswer {
+    return { status: 200, token: this.token, commands: [] };
+  }
+
   onReport(report: WorkerReport, reply: ReportReply): void {
     if (!this.mayAnswer() || report.token > this.token) {
       reply(UNAVAILABLE);
       return;
     }
-    const emptyAnswer: WorkerAnswer = { status: 200, token: this.token, commands: [] };
     if (!this.leader.isLoaded()) {
-      reply(emptyAnswer);
+      this.renewedWhileLoading.note(report.machine, this.ctx.now.steady);
+      reply(this.emptyAnswer);
       return;
     }
     if (this.cluster.removedMachines.has(report.machine)) {
@@ -72,7 +85,7 @@
     }
     const machine = this.cluster.machines.get(report.machine) ?? this.addUnlisted(report);
     if (!machine) {
-      reply(emptyAnswer);
+      reply(this.emptyAnswer);
       return;
     }
     if (isDuplicate(machine, report)) {
@@ -86,15 +99,38 @@
     this.noteIgnoredAnswer(machine, report);
     const isFirst = this.recordSignOfLife(machine, report);
     if (!machine.registered) this.leader.registerMachine(machine);
+    const list: UnreadList = { machine, report, reply, isFirst, until: this.ctx.after(HOLD_MS) };
+    if (this.mustWaitInBacklog(list)) return;
+    this.takeList(list);
+  }
+
+  /** Takes in the list of tasks that came with a report, and answers the report, or holds the answer back. */
+  private takeList({ machine, report, reply, isFirst }: UnreadList): void {
     const newer = isNewer(machine, report);
     const freed = this.reconciliation.take(machine, report, 'report');
     machine.lastReportSeq = report.seq;
+    if (reply === null) return;
     const taken = newer && machine.seq === report.seq && machine.session === report.session;
-    if (!taken) {
-      reply(emptyAnswer);
-      return;
-    }
-    this.answerOrHold(machine, report, reply, freed || isFirst);
+    if (taken) this.answerOrHold(machine, report, reply, freed || isFirst);
+    else reply(this.emptyAnswer);
+  }
+
+  /** Once everything is certain, no list has to wait for its turn. */
+  private mustWaitInBacklog(list: UnreadList): boolean {
+    const { recovery } = this.cluster.earlierTerms;
+    if (!recovery || recovery.isFinished || list.report.token !== this.token) return false;
+    const waits = this.unreadLists.mustWait(list);
+    recovery.noteBacklog(this.unreadLists.size);
+    return waits;
+  }
+
+  takeBacklog(): void {
+    this.unreadLists.onTimer();
+  }
+
+  private takeWaiting(list: UnreadList): void {
+    if (this.mayAnswer() && this.cluster.isKnown(list.machine)) this.takeList(list);
+    else list.reply?.(UNAVAILABLE);
   }
 
   private answerOrHold(machine: Machine, report: WorkerReport, reply: ReportReply, roomCameFree: boolean): void {
@@ -182,6 +218,7 @@
     const now = this.ctx.now.steady;
     const machine = new Machine({ id, type, zone, spot, addr, reconciled: true, phase: 'up', now });
     this.cluster.machines.set(id, machine);
+    this.cluster.earlierTerms.recovery?.onUnlistedMachine();
     this.ctx.log('info', 'report of a machine that was not listed', { machine: id });
     return machine;
   }
@@ -193,8 +230,8 @@
    * its next report. Nothing can change on an empty machine that the delay would hide, except a notice.
    */
   private mayHoldIdle(machine: Machine, report: WorkerReport): boolean {
-    const isEmpty = machine.placements.size === 0 && machine.exitedTasks.length === 0;
-    return isEmpty && report.token === this.token && machine.draining === null;
+    const hasNothing = machine.isEmpty && machine.exitedTasks.length === 0;
+    return hasNothing && report.token === this.token && machine.draining === null;
   }
 
   private idleHoldMs(): number {
@@ -209,7 +246,7 @@
   private waitsForRecords(machine: Machine): boolean {
     if (!machine.registered) return true;
     for (const { phase, job } of machine.placements.values()) {
-      if (phase === 'planned' && job.durableStartTerm === 0) return true;
+      if (phase === 'planned' && !job.isStartDurable(machine.zone)) return true;
     }
     return false;
   }
@@ -261,6 +298,7 @@
     if (placement.job.isGang && placement.phase === 'planned' && !isGangStartDue(this.cluster, placement)) return false;
     placement.phase = 'sent';
     placement.sentInReplyTo = seq;
+    this.cluster.earlierTerms.onStart();
     return true;
   }
 }
--- a/test/service.test.ts
+++ b/test/service.test.ts
@@ -147,6 +147,15 @@
   assert.deepEqual([got.status, got.body], [200, { crest: 5n, calls: [] }]);
   assert.equal(reports.at(-1)?.machine, 'i-1');
   assert.equal((await ask('POST', '/agent/beat', encode({ ...report, roost: 'x' }))).status, 400);
+  const task = { chick: 'job-1/0', hop: 3, mood: 'running' };
+  const withTasks = (...chicks: unknown[]): Promise<Got> => ask('POST', '/agent/beat', encode({ ...report, chicks }));
+  const taken = reports.length;
+  assert.equal((await withTasks({ ...task, mood: 'dreaming' })).status, 400);
+  assert.equal((await withTasks({ ...task, hop: undefined })).status, 400);
+  assert.equal((await withTasks(task, { ...task, mood: 'exited', cause: 'done' })).status, 400);
+  assert.equal(reports.length, taken);
+  // A refused start is shown beside the attempt that is there.
+  assert.equal((await withTasks(task, { ...task, hop: 4, mood: 'exited', cause: 'in_use' })).status, 200);
 });
 
 test('connections that say nothing don’t keep others out', async () => {
@@ -232,6 +241,30 @@
   assert.match(run.err, /scheduler\.mutation/);
 });
 
+test('command line: what is switched on is checked, with file and field; what is left out is off', () => {
+  const file = join(mkdtempSync(join(tmpdir(), 'magpielift-')), 'features.toml');
+  const check = (text: string): ReturnType<typeof cli> => {
+    writeFileSync(file, text);
+    return cli('check', '--config', settings(), '--features', file);
+  };
+  assert.equal(check('').status, 0);
+  assert.equal(check('[recovery]\nenabled = true\n').status, 0);
+  const wrong: Readonly<Record<string, RegExp>> = {
+    '[recovery]\nenabled = "yes"\n': /features\.toml: recovery\.enabled: /,
+    '[recovery]\nenabled = true\nlists_per_window = 0\n': /features\.toml: recovery\.lists_per_window: /,
+    '[recovery]\nenabled = true\nsurprise = 1\n': /features\.toml: recovery\.surprise: /,
+    '[recovery]\nlists_per_window = 3\n': /features\.toml: recovery\.enabled: /,
+    '[recoverry]\nenabled = true\n': /features\.toml: recoverry: /,
+  };
+  for (const [text, said] of Object.entries(wrong)) {
+    const refused = check(text);
+    assert.equal(refused.status, 2, text);
+    assert.match(refused.err, said);
+    assert.equal(refused.err.trim().split('\n').length, 1);
+  }
+  assert.equal(cli('check', '--config', settings(), '--features', '/nonexistent').status, 2);
+});
+
 test('command line: a tuning key under its old name is refused with the new one', () => {
   const file = join(mkdtempSync(join(tmpdir(), 'magpielift-')), 'tuning.toml');
   const text = readFileSync(join(root, 'deploy/tuning.toml'), 'utf8');
--- a/test/sim/scenario_events.ts
+++ b/test/sim/scenario_events.ts
@@ -1,15 +1,16 @@
 import type { Output, StoreOp } from '../../src/core/messages.js';
 import type { JobId } from '../../src/core/types.js';
-import { type Build, PRESENT } from './build.js';
+import { type Build, PRESENT, PRESENT_BUILDS } from './build.js';
 import { sendInvalidRequest } from './invalid_requests.js';
 import { makeSpec, num, readOptions } from './job_options.js';
+import { recoveryEvents } from './recovery_events.js';
 import type { World } from './world.js';
 
 /** Where a scenario names no old versions. */
 export const NO_VERSIONS: ReadonlyMap<string, Build> = new Map();
 
 export function buildNamed(oldVersions: ReadonlyMap<string, Build>, name: string): Build {
-  const build = name === PRESENT.name ? PRESENT : oldVersions.get(name);
+  const build = PRESENT_BUILDS.find((known) => known.name === name) ?? oldVersions.get(name);
   if (!build) throw new Error(`no version ${name}`);
   return build;
 }
@@ -62,13 +63,17 @@
   return ms;
 }
 
-/** At which step of an election a node ends: before or after its lease is granted, or its transaction carried out. */
+/** At which call a node ends: before or after its lease is granted, or a transaction carried out. */
 const TRIPS: Readonly<Record<string, (op: StoreOp, carriedOut: boolean) => boolean>> = {
   'before-grant': (op, after) => op.op === 'grant' && !after,
   'after-grant': (op, after) => op.op === 'grant' && after,
   'before-take': (op, after) => takesLead(op) && !after,
   'after-take': (op, after) => takesLead(op) && after,
+  'before-results': (op, after) => writesResults(op) && !after,
 };
+const writesResults = (op: StoreOp): boolean =>
+  op.op === 'txn' && op.changes.some((change) => 'put' in change && hasResults(change.value));
+const hasResults = (value: unknown): boolean => ((value as { done?: unknown[] }).done?.length ?? 0) > 0;
 const takesLead = (op: StoreOp): boolean =>
   op.op === 'txn' && op.changes.some((change) => 'put' in change && change.put === 'leader');
 
@@ -81,6 +86,7 @@
 };
 
 export const events: Readonly<Record<string, Event>> = {
+  ...recoveryEvents,
   submit(world, [id, shape, ...rest]) {
     const options = readOptions(rest);
     const spec = makeSpec(id ?? '', shape === 'gang' || shape === 'service' ? shape : 'array', options);
@@ -280,7 +286,7 @@
     };
     next(0);
   },
-  /** crash-at STEP TIMES BACK: whoever next gets to this step of an election ends there, and is back after BACK seconds */
+  /** crash-at STEP TIMES BACK: whoever next gets to this step ends there, and is back after BACK seconds */
   'crash-at'(world, [step, times, back]) {
     const hits = TRIPS[step ?? ''];
     if (!hits) throw new Error(`no step ${step}`);
