--- a/src/core/calls/call_queue.ts
+++ b/src/core/calls/call_queue.ts
@@ -21,6 +21,10 @@
 /** Calls to one outside service, let through in order of priority as its token buckets allow. */
 export class CallQueue {
   private readonly waiting: QueuedCall[][] = Array.from({ length: PRIORITIES }, () => []);
+  /** The changes that the waiting calls of each priority ask for. */
+  private readonly waitingWrites: number[] = Array(PRIORITIES).fill(0);
+  /** Calls that can't be sent in time, to be given up with the step in which they were made. */
+  private hopeless: QueuedCall[] = [];
   private pausedUntil = 0 as Steady;
 
   constructor(
@@ -30,6 +34,27 @@
 
   add(priority: CallPriority, call: QueuedCall): void {
     this.waiting[priority]?.push(call);
+    this.waitingWrites[priority] = (this.waitingWrites[priority] ?? 0) + call.writes;
+  }
+
+  /** Adds a call that somebody waits for: where it can't be sent before it expires, it is given up at once. */
+  addIfInTime(priority: CallPriority, call: QueuedCall, now: Steady): void {
+    if (this.canSendInTime(priority, call, now)) this.add(priority, call);
+    else this.hopeless.push(call);
+  }
+
+  /** Whether the tokens for all that goes before it and for itself come in before it expires. */
+  private canSendInTime(priority: CallPriority, { writes, expiresAt }: QueuedCall, now: Steady): boolean {
+    if (this.pausedUntil >= expiresAt) return false;
+    let callsBefore = 0;
+    let writesBefore = 0;
+    for (let before = 0; before <= priority; before++) {
+      callsBefore += this.waiting[before]?.length ?? 0;
+      writesBefore += this.waitingWrites[before] ?? 0;
+    }
+    // A token that comes in as the call expires comes too late.
+    if (this.calls.payableBy(expiresAt, now) <= callsBefore + 1) return false;
+    return writes === 0 || this.writes === null || this.writes.payableBy(expiresAt, now) > writesBefore + writes;
   }
 
   /** The service refused a call: all but the first priority waits for a moment. */
@@ -39,11 +64,14 @@
 
   /** Sends what the buckets allow; returns when to look again, or null if nothing waits. */
   pump(now: Steady): Steady | null {
+    const { hopeless } = this;
+    this.hopeless = [];
+    for (const call of hopeless) call.giveUp();
     let next: Steady | null = null;
     // Without tokens for calls nothing of a lower priority may pass, but what has waited too long is still given up.
     let exhausted = false;
     this.waiting.forEach((queue, priority) => {
-      for (let first = this.firstLive(queue, now); first; first = this.firstLive(queue, now)) {
+      for (let first = this.firstLive(queue, priority, now); first; first = this.firstLive(queue, priority, now)) {
         const wait = priority === UNLIMITED_PRIORITY ? null : this.waitFor(first, exhausted, now);
         if (wait) {
           const lookAt = Math.min(wait.until, first.expiresAt) as Steady;
@@ -52,7 +80,7 @@
           // Without tokens for changes reads may still go.
           return;
         }
-        queue.shift();
+        this.removeFirst(queue, priority);
         this.calls.take(1, now);
         this.writes?.take(first.writes, now);
         first.send();
@@ -62,11 +90,17 @@
   }
 
   /** The first call of a queue that has not expired; those before it are given up. */
-  private firstLive(queue: QueuedCall[], now: Steady): QueuedCall | undefined {
-    while (queue[0] && queue[0].expiresAt <= now) queue.shift()?.giveUp();
+  private firstLive(queue: QueuedCall[], priority: number, now: Steady): QueuedCall | undefined {
+    while (queue[0] && queue[0].expiresAt <= now) this.removeFirst(queue, priority)?.giveUp();
     return queue[0];
   }
 
+  private removeFirst(queue: QueuedCall[], priority: number): QueuedCall | undefined {
+    const call = queue.shift();
+    if (call) this.waitingWrites[priority] = (this.waitingWrites[priority] ?? 0) - call.writes;
+    return call;
+  }
+
   /** Until when a call has to wait, and whether that is for the bucket of calls; null: it may go now. */
   private waitFor(call: QueuedCall, exhausted: boolean, now: Steady): { until: Steady; forCalls: boolean } | null {
     if (now < this.pausedUntil) return { until: this.pausedUntil, forCalls: false };
--- a/src/core/calls/token_bucket.ts
+++ b/src/core/calls/token_bucket.ts
@@ -39,6 +39,12 @@
     this.level -= tokens;
   }
 
+  /** How many tokens can be paid until then, one after the other. */
+  payableBy(deadline: Steady, now: Steady): number {
+    this.refill(now);
+    return this.level + (Math.max(0, deadline - now) / 1000) * this.ratePerS;
+  }
+
   /** Milliseconds until so many tokens are there. */
   waitMs(tokens: number, now: Steady): number {
     this.refill(now);
--- a/src/core/context.ts
+++ b/src/core/context.ts
@@ -1,4 +1,4 @@
-import { type CallPriority, CallQueue } from './calls/call_queue.js';
+import { type CallPriority, CallQueue, type QueuedCall } from './calls/call_queue.js';
 import { TokenBucket } from './calls/token_bucket.js';
 import { ALL_OFF, type Features } from './features.js';
 import type {
@@ -50,6 +50,8 @@
   readonly timeoutMs?: number;
   /** For tokens, before it is sent; what has to wait longer is refused. */
   readonly maxQueueMs?: number;
+  /** Somebody waits for the answer: what surely has to wait longer than that is refused at once. */
+  readonly refuseEarly?: boolean;
   /** Called at the moment it is sent. */
   readonly onSend?: (at: Steady) => void;
 }
@@ -170,8 +172,8 @@
   }
 
   store(op: StoreOp, priority: CallPriority, onResult: OnResult<StoreValue>, options: CallOptions = {}): void {
-    const { timeoutMs = STORE_TIMEOUT_MS, maxQueueMs = STORE_QUEUE_MS, onSend } = options;
-    this.storeQueue.add(priority, {
+    const { timeoutMs = STORE_TIMEOUT_MS, maxQueueMs = STORE_QUEUE_MS, refuseEarly = false, onSend } = options;
+    const queued: QueuedCall = {
       writes: op.op === 'txn' ? op.changes.length : 0,
       expiresAt: this.after(maxQueueMs),
       send: () => {
@@ -181,7 +183,9 @@
         this.outputs.push({ kind: 'store', call, op, timeoutMs });
       },
       giveUp: () => onResult(REFUSED),
-    });
+    };
+    if (refuseEarly) this.storeQueue.addIfInTime(priority, queued, this.now.steady);
+    else this.storeQueue.add(priority, queued);
   }
 
   cloud(op: CloudOp, priority: CallPriority, onResult: OnResult<CloudValue>): void {
--- a/src/core/requests/job_reader.ts
+++ b/src/core/requests/job_reader.ts
@@ -70,7 +70,7 @@
         if (job) found(job);
         else failed();
       },
-      { timeoutMs: READ_TIMEOUT_MS, maxQueueMs: READ_QUEUE_MS },
+      { timeoutMs: READ_TIMEOUT_MS, maxQueueMs: READ_QUEUE_MS, refuseEarly: true },
     );
   }
 }
--- a/src/core/requests/poll_confirmation.ts
+++ b/src/core/requests/poll_confirmation.ts
@@ -66,7 +66,7 @@
         if (this.waiting.length > 0) this.schedule(NEXT_BATCH_MS);
         this.onResult(batch, result);
       },
-      { timeoutMs: CONFIRM_TIMEOUT_MS, maxQueueMs: CONFIRM_QUEUE_MS },
+      { timeoutMs: CONFIRM_TIMEOUT_MS, maxQueueMs: CONFIRM_QUEUE_MS, refuseEarly: true },
     );
   }
 
--- a/src/core/requests/request_handler.ts
+++ b/src/core/requests/request_handler.ts
@@ -21,8 +21,8 @@
 
 const MAX_CANCEL_TRIES = 3;
 const WRITE_PRIORITY = 2;
-const SUBMIT_OPTIONS = { timeoutMs: 1200, maxQueueMs: 1500 } as const;
-const CANCEL_OPTIONS = { timeoutMs: 1000, maxQueueMs: 1000 } as const;
+const SUBMIT_OPTIONS = { timeoutMs: 1200, maxQueueMs: 1500, refuseEarly: true } as const;
+const CANCEL_OPTIONS = { timeoutMs: 1000, maxQueueMs: 1000, refuseEarly: true } as const;
 /** A new record leaves so much of a value's limit free for what is added to it later. */
 const RECORD_SPARE_BYTES = 64;
 /** The state service has refused this node for so long: a peer is asked first, or nobody. */
--- /dev/null
+++ b/test/call_queue.test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { CallQueue } from '../src/core/calls/call_queue.js';
+import { TokenBucket } from '../src/core/calls/token_bucket.js';
+import type { Steady } from '../src/core/types.js';
+
+const RATE = 10;
+const MAX_QUEUE_MS = 1000;
+const PRIORITY = 2;
+const TICK_MS = 10;
+
+type Fate = 'sent' | 'given up';
+
+interface Arrival {
+  readonly afterMs: number;
+  readonly writes: number;
+}
+
+/** Plays calls through a queue, and returns what became of each, and after how many milliseconds. */
+function play(arrivals: readonly Arrival[], refuseEarly: boolean): { fate: Fate; waitedMs: number }[] {
+  const start = 0 as Steady;
+  const queue = new CallQueue(new TokenBucket(RATE, RATE, start), new TokenBucket(RATE, RATE, start));
+  const fates: { fate: Fate; waitedMs: number }[] = [];
+  let now = 0;
+  const advance = (ms: number): void => {
+    for (const end = now + ms; now < end; now += TICK_MS) queue.pump(now as Steady);
+  };
+  arrivals.forEach(({ afterMs, writes }, i) => {
+    advance(afterMs);
+    const cameAt = now;
+    const end = (fate: Fate) => (): void => {
+      fates[i] = { fate, waitedMs: now - cameAt };
+    };
+    const call = { writes, expiresAt: (now + MAX_QUEUE_MS) as Steady, send: end('sent'), giveUp: end('given up') };
+    if (refuseEarly) queue.addIfInTime(PRIORITY, call, now as Steady);
+    else queue.add(PRIORITY, call);
+    queue.pump(now as Steady);
+  });
+  advance(2 * MAX_QUEUE_MS);
+  return fates;
+}
+
+const arrival = fc.record({ afterMs: fc.integer({ min: 0, max: 12 }).map((n) => n * TICK_MS), writes: fc.nat(3) });
+
+test('calls that somebody waits for are refused at once if at all, and only those that would have expired', () => {
+  const property = fc.property(fc.array(arrival, { maxLength: 120 }), (arrivals) => {
+    const early = play(arrivals, true);
+    const patient = play(arrivals, false);
+    early.forEach(({ fate, waitedMs }, i) => {
+      if (fate === 'given up') assert.equal(waitedMs, 0, `call ${i} was held back for ${waitedMs} ms`);
+      if (fate === 'given up') assert.equal(patient[i]?.fate, 'given up', `call ${i} would have been sent`);
+    });
+    // Without calls that can't be sent before them, as many get through as before, or more.
+    const sent = (fates: typeof early): number => fates.filter(({ fate }) => fate === 'sent').length;
+    assert.ok(sent(early) >= sent(patient));
+  });
+  fc.assert(property, { seed: 28, numRuns: 400 });
+});
+
+test('a crowd of submissions is refused at once beyond what can be written in time', () => {
+  const fates = play(
+    Array.from({ length: 100 }, () => ({ afterMs: 0, writes: 1 })),
+    true,
+  );
+  const refused = fates.filter(({ fate, waitedMs }) => fate === 'given up' && waitedMs === 0).length;
+  // A second's burst, and what comes in before the second that each may wait is over.
+  const inTime = 2 * RATE - 1;
+  assert.equal(refused, 100 - inTime);
+  assert.equal(fates.filter(({ fate }) => fate === 'sent').length, inTime);
+});
