--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -127,14 +127,11 @@
     this.durableZones = new Set(zones);
   }
 
-  /** Its first start is allowed, or one in another zone. `keepsZones`: this leader records the zones. */
-  noteStart(term: number, zone: ZoneName, keepsZones: boolean): void {
-    if (this.startTerm === 0) {
-      this.startTerm = term;
-      this.startZone = zone;
-      this.startZones = keepsZones ? new Set() : null;
-    }
-    this.startZones?.add(zone);
+  /** Its first start is allowed. `keepsZones`: the zones of its starts go on record. */
+  noteFirstStart(term: number, zone: ZoneName, keepsZones: boolean): void {
+    this.startTerm = term;
+    this.startZone = zone;
+    this.startZones = keepsZones ? new Set() : null;
   }
 
   /** What a transaction has put on record. */
--- a/src/core/leadership/earlier_terms.ts
+++ b/src/core/leadership/earlier_terms.ts
@@ -10,6 +10,7 @@
 import type { Context } from '../context.js';
 import type { Job } from '../jobs/job.js';
 import type { Machine } from '../machines/machine.js';
+import { hasRoomForZones } from '../records.js';
 import type { Quotas } from '../scheduler/quotas.js';
 import type { JobId, ZoneName } from '../types.js';
 import type { Cluster } from './cluster.js';
@@ -39,9 +40,11 @@
     this.recovery = this.ctx.features.recovery.enabled ? new Recovery(init) : null;
   }
 
-  /** Whether the zones in which jobs are started go on record. */
-  get keepsZones(): boolean {
-    return this.zonesKeptSince !== null;
+  /** Whether the zones in which the job is started go on record: asked as it is started for the first time. */
+  keepsZonesOf(job: Job): boolean {
+    if (this.zonesKeptSince === null) return false;
+    const { zones, store } = this.ctx.settings;
+    return hasRoomForZones(job, zones, store.valueBytes);
   }
 
   // ---- what was stored
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -75,6 +75,18 @@
   return { ...value, done: done.pairs(bytesLeft) };
 }
 
+/** Whether a job's record has room for the names of these zones. Earlier releases leave none when they accept a job. */
+export function hasRoomForZones(
+  record: Omit<JobRecord, 'startZones' | 'done'>,
+  zones: readonly ZoneName[],
+  valueBytes: number,
+): boolean {
+  const { spec, submittedAt, state, startTerm, startZone } = record;
+  const done = new RangeSet();
+  const value = encodeJob({ spec, submittedAt, state, startTerm, startZone, startZones: zones, done }, valueBytes);
+  return Buffer.byteLength(JSON.stringify(value)) <= valueBytes - SPARE_BYTES;
+}
+
 /** Null for a value that isn't a job record: it is passed over, not believed. */
 export function decodeJob(value: unknown): JobRecord | null {
   if (!isFields(value) || value.v !== JOB_RECORD_VERSION) return null;
--- a/src/core/requests/request_handler.ts
+++ b/src/core/requests/request_handler.ts
@@ -23,7 +23,7 @@
 const WRITE_PRIORITY = 2;
 const SUBMIT_OPTIONS = { timeoutMs: 1200, maxQueueMs: 1500, refuseEarly: true } as const;
 const CANCEL_OPTIONS = { timeoutMs: 1000, maxQueueMs: 1000, refuseEarly: true } as const;
-/** A new record leaves so much of a value's limit free for what is added to it later. */
+/** A new record leaves so much of a value's limit free for what is added to it later, beside the names of zones. */
 const RECORD_SPARE_BYTES = 64;
 /** The state service has refused this node for so long: a peer is asked first, or nobody. */
 const ASK_PEER_AFTER_MS = 300;
@@ -136,7 +136,7 @@
     }
     const { valueBytes } = this.ctx.settings.store;
     const value = encodeJob(this.newRecord(spec), valueBytes);
-    if (JSON.stringify(value).length > valueBytes - RECORD_SPARE_BYTES) {
+    if (JSON.stringify(value).length > valueBytes - this.spareBytes()) {
       this.reader.answer({ id, ifMissing: TOO_LONG, ...reply });
       return;
     }
@@ -157,6 +157,11 @@
     this.ctx.store({ op: 'txn', conditions, changes }, WRITE_PRIORITY, onResult, SUBMIT_OPTIONS);
   }
 
+  /** What a record may yet grow by: its first start, and the zones of all its starts. */
+  private spareBytes(): number {
+    return RECORD_SPARE_BYTES + JSON.stringify(this.ctx.settings.zones).length;
+  }
+
   private newRecord(spec: JobSpec): JobRecord {
     const submittedAt = this.ctx.now.wall;
     return {
--- a/src/core/scheduler/hosting.ts
+++ b/src/core/scheduler/hosting.ts
@@ -62,5 +62,6 @@
 /** Gives the task its place: its start goes out once the job's first start is on record. */
 export function placeTask(cluster: Cluster, job: Job, index: number, machine: Machine, attempt: Attempt): void {
   cluster.place(job, index, machine, attempt, 'planned');
-  job.noteStart(cluster.term, machine.zone, cluster.earlierTerms.keepsZones);
+  if (job.startTerm === 0) job.noteFirstStart(cluster.term, machine.zone, cluster.earlierTerms.keepsZonesOf(job));
+  job.startZones?.add(machine.zone);
 }
--- a/test/core.test.ts
+++ b/test/core.test.ts
@@ -12,7 +12,7 @@
 import { Registry } from '../src/core/machines/registry.js';
 import { type Evidence, Slowness } from '../src/core/machines/slowness.js';
 import { SpotInterruptionRate, spotDelayS } from '../src/core/machines/spot_interruptions.js';
-import { encodePage, type MachineRecord } from '../src/core/records.js';
+import { encodeJob, encodePage, hasRoomForZones, type MachineRecord } from '../src/core/records.js';
 import { Evolution } from '../src/core/scheduler/evolution.js';
 import { reserveForOverdueGangs } from '../src/core/scheduler/gang_reservation.js';
 import { NO_PENALTIES, type PlanJob, type PlanMachine } from '../src/core/scheduler/plan_types.js';
@@ -392,3 +392,13 @@
   assert.equal(machines[2]?.isReservedForOther('job-1' as JobId, now.steady), true);
   assert.equal(machines[2]?.reservedFor((now.steady + 5000) as Steady), null);
 });
+
+test('records: the zones of a job are kept only where its record has room for all of them', () => {
+  const zones = ['north', 'south'] as ZoneName[];
+  const spec = makeSpec('job-1', 'array', { tasks: '4' });
+  const record = { spec, submittedAt: 1 as Wall, state: 'accepted', startTerm: 1, startZone: zoneA } as const;
+  const full = { ...record, startZones: zones, done: new RangeSet() };
+  const bytes = JSON.stringify(encodeJob(full, 8192)).length;
+  assert.equal(hasRoomForZones(record, zones, bytes + 48), true);
+  assert.equal(hasRoomForZones(record, zones, bytes + 47), false);
+});
