--- a/src/core/scheduler/quotas.ts
+++ b/src/core/scheduler/quotas.ts
@@ -18,7 +18,9 @@
   private readonly use = new Map<TeamName, Use>();
   /** Capacity of machines that may hold anybody's tasks: it counts against every limited team. */
   unreconciled: Use = { cpus: 0, gpus: 0 };
-  /** Of that, what each team's tasks may take at most; null: all of it. */
+  /** Capacity of machines that hold tasks of jobs that aren't known: whose they are can't be told, so it counts alike. */
+  readonly unattributed: Use = { cpus: 0, gpus: 0 };
+  /** Of `unreconciled`, what each team's tasks may take at most; null: all of it. */
   exposure: TeamExposure | null = null;
 
   constructor(teams: readonly Team[]) {
@@ -47,11 +49,17 @@
     if (!team || !use) return 0;
     const unseen = this.exposure === null ? this.unreconciled : (this.exposure.get(spec.team) ?? NOTHING);
     return Math.min(
-      roomFor(team.cpusMax, use.cpus + unseen.cpus, spec.cpus),
-      roomFor(team.gpusMax, use.gpus + unseen.gpus, spec.gpus),
+      roomFor(team.cpusMax, use.cpus + unseen.cpus + this.unattributed.cpus, spec.cpus),
+      roomFor(team.gpusMax, use.gpus + unseen.gpus + this.unattributed.gpus, spec.gpus),
     );
   }
 
+  /** Counts a machine with tasks of unknown jobs, or with -1 one that has none any more. */
+  addUnattributed({ cpus, gpus }: Use, machines: 1 | -1): void {
+    this.unattributed.cpus += cpus * machines;
+    this.unattributed.gpus += gpus * machines;
+  }
+
   /** Whether any team has a limit. */
   get isAnyLimited(): boolean {
     for (const { cpusMax, gpusMax } of this.teams.values()) if (cpusMax > 0 || gpusMax > 0) return true;
--- a/src/core/workers/stray_tasks.ts
+++ b/src/core/workers/stray_tasks.ts
@@ -15,9 +15,17 @@
   machine.strays = new Map(strays.map((stray) => [strayKey(stray), stray]));
   for (const stray of machine.strays.values()) count(cluster, stray, 1);
   for (const stray of before.values()) count(cluster, stray, -1);
+  const change = Number(hasUnknown(machine.strays)) - Number(hasUnknown(before));
+  if (change !== 0) cluster.quotas.addUnattributed(machine.type, change > 0 ? 1 : -1);
   if (strays.some(({ stop }) => stop)) cluster.requestStops(machine);
 }
 
+/** Whether tasks of jobs that aren't known are among them. */
+function hasUnknown(strays: ReadonlyMap<TaskKey, StrayTask>): boolean {
+  for (const { owner } of strays.values()) if (!owner) return true;
+  return false;
+}
+
 /** The machine is gone, or its tasks are. */
 export function dropStrays(cluster: Cluster, machine: Machine): void {
   replaceStrays(cluster, machine, []);
