Last read: nothing unused in the recovery package, no set made for lists without ends

Cause: a read of the whole change found two unused members, and a set that each report made whether or not its list showed ended tasks.

--- a/src/core/workers/report_processing.ts
+++ b/src/core/workers/report_processing.ts
@@ -1,6 +1,14 @@
 import type { Placement } from '../jobs/job.js';
 import type { Cluster } from '../leadership/cluster.js';
-import { type Machine, type StrayTask, startKey, startKeyOf, type TaskKey, taskKey } from '../machines/machine.js';
+import {
+  type Machine,
+  type StartKey,
+  type StrayTask,
+  startKey,
+  startKeyOf,
+  type TaskKey,
+  taskKey,
+} from '../machines/machine.js';
 import { steadyPlus, type TaskPhase, type TaskReport, type Token, type WorkerReport } from '../types.js';
 import { recoverLiveTask } from './recovered_tasks.js';
 import { replaceStrays } from './stray_tasks.js';
@@ -85,7 +93,7 @@
   let freed = false;
   const live = new Set<TaskKey>();
   const strays: StrayTask[] = [];
-  machine.endsBefore = new Set(machine.exitedTasks.map(({ job, index, attempt }) => startKey(job, index, attempt)));
+  machine.endsBefore = endsShown(machine);
   machine.exitedTasks = [];
   for (const task of report.tasks) {
     if (isLive(task)) {
@@ -99,6 +107,14 @@
   return applyAbsences(cluster, machine, live, report, source) || freed;
 }
 
+/** The ends that the last list showed. Most lists show none: they share one empty set. */
+function endsShown({ exitedTasks }: Machine): ReadonlySet<StartKey> {
+  if (exitedTasks.length === 0) return NO_ENDS;
+  return new Set(exitedTasks.map(({ job, index, attempt }) => startKey(job, index, attempt)));
+}
+
+const NO_ENDS: ReadonlySet<StartKey> = new Set();
+
 /** What a report says by not showing tasks that have a place on the machine. Returns whether room came free. */
 function applyAbsences(
   cluster: Cluster,
--- a/src/core/workers/stray_tasks.ts
+++ b/src/core/workers/stray_tasks.ts
@@ -6,7 +6,7 @@
  * machines at once. While one is there its machine gets nothing new, and the same task is started nowhere.
  */
 
-export const strayKey = ({ job, index }: StrayTask): TaskKey => taskKey(job, index);
+const strayKey = ({ job, index }: StrayTask): TaskKey => taskKey(job, index);
 
 /** The strays that a new list shows, instead of those of the one before. */
 export function replaceStrays(cluster: Cluster, machine: Machine, strays: readonly StrayTask[]): void {
--- a/src/recovery/orphans.ts
+++ b/src/recovery/orphans.ts
@@ -55,16 +55,6 @@
     return this.jobs.get(job)?.confirmed ?? false;
   }
 
-  /** Whether any record has yet to be read. */
-  get hasUnconfirmed(): boolean {
-    for (const { confirmed } of this.jobs.values()) if (!confirmed) return true;
-    return false;
-  }
-
-  get size(): number {
-    return this.jobs.size;
-  }
-
   list(): Orphan[] {
     const orphans: Orphan[] = [];
     for (const [job, { machines, seenAt, confirmed }] of this.jobs) {
