--- a/test/sim/recovery_events.ts
+++ b/test/sim/recovery_events.ts
@@ -17,6 +17,7 @@
   const values = replaced.get(world) ?? new Map<string, unknown>();
   replaced.set(world, values);
   values.set(key, world.state.item(key)?.value);
+  world.garbledKeys.add(key);
   world.state.overwrite(key, FUTURE_VALUE);
 }
 
@@ -60,6 +61,7 @@
   restore(world) {
     for (const [key, value] of replaced.get(world) ?? []) {
       const isUntouched = JSON.stringify(world.state.item(key)?.value) === JSON.stringify(FUTURE_VALUE);
+      world.garbledKeys.delete(key);
       if (isUntouched) world.state.overwrite(key, value);
       else world.errors.push(`${key} was written over`);
     }
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -105,6 +105,8 @@
   readonly settings: { lease: number; report: number; gangWait: number; gangPeer: number };
   readonly meters: Meters;
   readonly orders = new Orders();
+  /** Keys whose values were made unreadable on purpose. */
+  readonly garbledKeys = new Set<string>();
   private readonly onRecord = new Set<string>();
   /** Until then every report is delivered once more, late. */
   duplicatesUntil = 0;
@@ -182,10 +184,9 @@
   private checkRegistry(): void {
     const now = new Set<string>();
     for (const key of this.state.keys(records.MACHINE_PREFIX)) {
-      const page = records.decodePage(this.state.item(key)?.value);
       // What a page holds that was made unreadable on purpose isn't known here either.
-      if (!page) return;
-      for (const machine of page.machines) now.add(machine.id);
+      if (this.garbledKeys.has(key)) return;
+      for (const machine of records.decodePage(this.state.item(key)?.value)?.machines ?? []) now.add(machine.id);
     }
     for (const id of this.onRecord) {
       if (!now.has(id) && this.cloud.machines.has(id as MachineId)) this.rules.unregistered(id);
