--- a/src/config/features.ts
+++ b/src/config/features.ts
@@ -1,8 +1,6 @@
 import * as v from 'valibot';
 import { type Features, RECOVERY_OFF } from '../core/features.js';
-import { checkSettings, readToml } from './load.js';
-
-const within = (least: number, most: number) => v.pipe(v.number(), v.minValue(least), v.maxValue(most));
+import { checkSettings, readToml, within } from './load.js';
 
 const recovery = v.strictObject({
   enabled: v.boolean(),
--- a/src/config/load.ts
+++ b/src/config/load.ts
@@ -32,6 +32,7 @@
 
 export const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
 export const notNegative = v.pipe(v.number(), v.finite(), v.minValue(0));
+export const within = (least: number, most: number) => v.pipe(v.number(), v.minValue(least), v.maxValue(most));
 export const count = v.pipe(v.number(), v.integer(), v.minValue(1));
 export const share = v.pipe(v.number(), v.gtValue(0), v.maxValue(1));
 export const name = v.pipe(v.string(), v.minLength(1));
--- a/src/config/tuning.ts
+++ b/src/config/tuning.ts
@@ -1,8 +1,6 @@
 import * as v from 'valibot';
 import type { Tuning } from '../core/settings.js';
-import { checkSettings, count, notNegative, positive, readToml, SettingsError, share } from './load.js';
-
-const within = (least: number, most: number) => v.pipe(v.number(), v.minValue(least), v.maxValue(most));
+import { checkSettings, count, notNegative, positive, readToml, SettingsError, share, within } from './load.js';
 
 const schema = v.object({
   leadership: v.object({
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -94,6 +94,9 @@
   readonly saved: boolean;
 }
 
+/** A task that a report shows as fetching, waiting, running or saving. */
+export type LiveTask = TaskReport & { readonly phase: Exclude<TaskPhase, 'exited'> };
+
 /** A worker's report: its machine, session and token, and all tasks on the machine. */
 export interface WorkerReport {
   readonly machine: MachineId;
--- a/src/core/workers/recovered_tasks.ts
+++ b/src/core/workers/recovered_tasks.ts
@@ -2,7 +2,7 @@
 import type { Job, Placement } from '../jobs/job.js';
 import type { Cluster } from '../leadership/cluster.js';
 import { type Machine, type StartKey, type StrayTask, startKey, taskKey } from '../machines/machine.js';
-import type { JobId, TaskReport } from '../types.js';
+import type { JobId, LiveTask, TaskReport } from '../types.js';
 import { addStray } from './stray_tasks.js';
 
 /*
@@ -14,7 +14,7 @@
 export function recoverLiveTask(
   cluster: Cluster,
   machine: Machine,
-  task: TaskReport & { readonly phase: Exclude<TaskReport['phase'], 'exited'> },
+  task: LiveTask,
   strays: StrayTask[],
 ): Placement | null {
   const job = cluster.jobs.get(task.job) ?? null;
@@ -87,11 +87,7 @@
 
 const otherPlace = ({ machine, attempt }: Placement): OtherPlace => ({ machine: machine.id, attempt });
 
-function adopt(
-  cluster: Cluster,
-  machine: Machine,
-  task: TaskReport & { readonly phase: Exclude<TaskReport['phase'], 'exited'> },
-): Placement | null {
+function adopt(cluster: Cluster, machine: Machine, task: LiveTask): Placement | null {
   const job = cluster.jobs.get(task.job);
   return job ? cluster.place(job, task.index, machine, task.attempt, task.phase) : null;
 }
--- a/src/core/workers/report_processing.ts
+++ b/src/core/workers/report_processing.ts
@@ -9,7 +9,7 @@
   type TaskKey,
   taskKey,
 } from '../machines/machine.js';
-import { steadyPlus, type TaskPhase, type TaskReport, type Token, type WorkerReport } from '../types.js';
+import { type LiveTask, steadyPlus, type TaskReport, type Token, type WorkerReport } from '../types.js';
 import { recoverLiveTask } from './recovered_tasks.js';
 import { replaceStrays } from './stray_tasks.js';
 import { processExit } from './task_exits.js';
@@ -17,9 +17,6 @@
 /** Reports are sent one after the other; answers to direct commands overtake them. */
 export type ReportSource = 'report' | 'commandAnswer';
 
-/** A task that a report shows as fetching, waiting, running or saving. */
-type LiveTask = TaskReport & { readonly phase: Exclude<TaskPhase, 'exited'> };
-
 const isLive = (task: TaskReport): task is LiveTask => task.phase !== 'exited';
 
 /** Whether a report is newer than anything seen of this machine. */
