Logs say why a task of an earlier term was held to be on no machine when it starts again

Cause: the records of the incident show that the second start was wrong, but not on what fact it rested: leaders log neither exits that they learn of after a failover with their attempt, nor the end of placements by its reason.

Change: every release of a placement names its reason (ReleaseReason), and the end of an attempt of an earlier term is kept until the task starts again; the line "task started again" then names evidence, earlier machine and attempt (200 lines a term, then one in a hundred). "state read" has term, begunJobs and unreadableJobs; "recovery finished" counts statuses that were passed over as outdated. LocatedTasks and AttemptNumbers are modules of their own. Decisions are unchanged; a scenario check started-again reads the new line.

--- a/src/core/autoscaling/machine_list.ts
+++ b/src/core/autoscaling/machine_list.ts
@@ -86,7 +86,7 @@
   /** A failed machine has stopped by itself: nothing is on it any more. */
   private handleStopped(machine: Machine): void {
     this.cluster.context.log('machine stopped', { machine: machine.id, lostTasks: machine.allocations.taskCount });
-    this.cluster.clearMachine(machine);
+    this.cluster.clearMachine(machine, 'machineGone');
     this.cluster.markReconciled(machine, 'gone');
     this.onMachineStopped(machine);
   }
--- a/src/core/health/graceful_evictions.ts
+++ b/src/core/health/graceful_evictions.ts
@@ -21,7 +21,7 @@
 }
 
 function evictGracefully(cluster: Cluster, placement: Placement, now: MonotonicTime): void {
-  if (placement.phase === 'planned') cluster.placements.release(placement);
+  if (placement.phase === 'planned') cluster.placements.release(placement, 'startNotSent');
   else if (placement.job.isService) moveReplica(cluster, placement);
   else if (!finishesInTime(cluster, placement, now)) cluster.placements.evictWithCheckpoint(placement);
 }
--- a/src/core/health/health_checks.ts
+++ b/src/core/health/health_checks.ts
@@ -103,7 +103,7 @@
       lostTasks: machine.allocations.taskCount,
       reconciled: machine.reconciled,
     });
-    this.cluster.clearMachine(machine);
+    this.cluster.clearMachine(machine, 'agentLeaseExpired');
     machine.messages.expireEpoch();
     machine.commandChannel.clearUnconfirmedStarts();
     this.cluster.markReconciled(machine, 'leaseEnded');
--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -2,6 +2,7 @@
 import type { JobRecord, JobState } from '../records.js';
 import type { JobId, JobSpec, MachineId, MonotonicTime, Revision, WallClockTime, ZoneName } from '../types.js';
 import { FailureHistory } from './failure_history.js';
+import { LocatedTasks } from './located_tasks.js';
 import { RangeSet } from './range_set.js';
 import { Retries } from './retries.js';
 import { StoredJobState } from './stored_job_state.js';
@@ -22,6 +23,8 @@
   readonly retries = new Retries();
   /** How its tasks have failed, and whether it is itself at fault. */
   readonly failureHistory = new FailureHistory();
+  /** Which tasks were found after a failover, and how they ended. */
+  readonly locatedTasks = new LocatedTasks();
   /** What is known to be complete, durable or not. */
   readonly doneTasks: RangeSet;
 
@@ -31,7 +34,6 @@
   private zonesOfStarts: Set<ZoneName> | null = null;
   private isGangBroken = false;
   private mayRunUnreconciled = false;
-  private readonly locatedTasks = new Set<number>();
   /** Tasks that are also on a machine where they don't belong, and on how many. */
   private readonly unexpectedTasks = new Map<number, number>();
   private readonly placedTasks = new Set<number>();
@@ -278,22 +280,18 @@
     this.mayRunUnreconciled = mayRun;
   }
 
-  /** This leader has found the task on a machine: wherever it is now, it is on no other. */
-  recordLocated(index: number): void {
-    this.locatedTasks.add(index);
-  }
-
   /** How many tasks of which this leader knows nothing: neither done nor located. */
   get unaccountedCount(): number {
     if (this.isGang && this.doneTasks.count > 0) return 0;
-    if (this.isGang) return this.spec.taskCount - this.locatedTasks.size;
+    if (this.isGang) return this.spec.taskCount - this.locatedTasks.count;
     return this.spec.taskCount - this.doneTasks.count - this.placedTasks.size - this.locatedPendingCount;
   }
 
   /** How many tasks were located in this term and wait for a place again. */
   private get locatedPendingCount(): number {
     let count = 0;
-    for (const index of this.locatedTasks) if (this.isPending(index) && !this.unexpectedTasks.has(index)) count += 1;
+    for (const index of this.locatedTasks.indices())
+      if (this.isPending(index) && !this.unexpectedTasks.has(index)) count += 1;
     return count;
   }
 
--- a/src/core/leadership/state_restorer.ts
+++ b/src/core/leadership/state_restorer.ts
@@ -24,8 +24,15 @@
     for (const job of this.jobCache.all()) this.cluster.applyJobRecord(job.record, job.version);
     for (const item of pages) this.restorePage(item);
     this.registry.splitOversizedPages();
-    context.log('state read', { jobs: this.jobCache.size, machines: machines.size });
-    previousTerms.onLoaded(this.jobCache.unreadableJobs.size);
+    const unreadableJobs = this.jobCache.unreadableJobs.size;
+    context.log('state read', {
+      term: this.cluster.term,
+      jobs: this.jobCache.size,
+      begunJobs: previousTerms.begunJobs,
+      unreadableJobs,
+      machines: machines.size,
+    });
+    previousTerms.onLoaded(unreadableJobs);
   }
 
   private restorePage(item: StoredEntry): void {
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -2,7 +2,17 @@
  * The catalogue of log events: each with its level and its fields. An event is a constant phrase, what varies is in the fields,
  * whose names give the unit. docs/operations.md tells operators what each event means; a test compares the two.
  */
-import type { ExitReason, FencingToken, JobId, MachineId, MachineTypeName, SequenceNumber, ZoneName } from './types.js';
+import type { ReleaseReason } from './jobs/located_tasks.js';
+import type {
+  Attempt,
+  ExitReason,
+  FencingToken,
+  JobId,
+  MachineId,
+  MachineTypeName,
+  SequenceNumber,
+  ZoneName,
+} from './types.js';
 
 export type LogLevel = 'error' | 'info' | 'debug';
 
@@ -50,7 +60,13 @@
   'leadership lost: lease expired': event<OfLeadership>('info'),
   'stepping down as leader': event<OfLeadership & { readonly reason: string }>('info'),
   'revoking lease of previous process': event<NoFields>('info'),
-  'state read': event<{ readonly jobs: number; readonly machines: number }>('info'),
+  'state read': event<{
+    readonly term: number;
+    readonly jobs: number;
+    readonly begunJobs: number;
+    readonly unreadableJobs: number;
+    readonly machines: number;
+  }>('info'),
   'recovery finished': event<LogFields>('info'),
   'task of a job not on record': event<{ readonly job: JobId }>('error'),
   'leader key not understood': event<OfStoredKey>('error'),
@@ -87,6 +103,18 @@
     readonly machines: readonly string[];
     readonly attempts: readonly string[];
   }>('error'),
+  'task started again': event<
+    OfMachine & {
+      readonly task: string;
+      readonly attempt: Attempt;
+      /** What showed that the earlier attempt is over. */
+      readonly evidence: ReleaseReason | 'allMachinesReconciled';
+      readonly earlierMachine: MachineId;
+      readonly earlierAttempt: Attempt;
+      /** How many tasks of earlier terms this leader has started again. */
+      readonly restarts: number;
+    }
+  >('info'),
   'task running': event<
     OfMachine & {
       readonly task: string;
--- a/src/core/state/cluster.ts
+++ b/src/core/state/cluster.ts
@@ -1,6 +1,7 @@
 /** What the leader knows, put together: jobs, machines, which task may be on which machine, quotas and estimates. */
 import type { ReconciledBy, StartZonesRecordedSince } from '../../recovery/index.js';
 import { Job } from '../jobs/job.js';
+import type { ReleaseReason } from '../jobs/located_tasks.js';
 import { RuntimeEstimator } from '../jobs/runtime_estimator.js';
 import { BootTimeEstimator } from '../machines/boot_time_estimator.js';
 import type { Machine } from '../machines/machine.js';
@@ -9,6 +10,7 @@
 import type { JobRecord } from '../records.js';
 import type { StepContext } from '../step_context.js';
 import type { Attempt, JobId, Revision } from '../types.js';
+import { AttemptNumbers } from './attempt_numbers.js';
 import { ImageUsage } from './image_usage.js';
 import { JobTable } from './job_table.js';
 import { MachineTable } from './machine_table.js';
@@ -20,9 +22,6 @@
 import { TermTimers } from './term_timers.js';
 import { UnexpectedTasks } from './unexpected_tasks.js';
 
-/** Attempts of one term are numbered within so many bits. */
-const ATTEMPTS_PER_TERM_BITS = 24n;
-
 /** The state of one term, lost with it: what has to last is written to the state store (leadership/record_writer.ts). */
 export class Cluster {
   readonly runtimeEstimator = new RuntimeEstimator();
@@ -40,7 +39,7 @@
   readonly placements: PlacementTable;
   /** What the cloud offers; empty until its list has been read. */
   machineTypes: MachineTypes = new Map();
-  private attemptCount = 0n;
+  private readonly attempts: AttemptNumbers;
 
   constructor(
     readonly context: StepContext,
@@ -48,6 +47,8 @@
     startZonesRecordedSince: StartZonesRecordedSince = null,
   ) {
     const { jobs } = this;
+    const attempts = new AttemptNumbers(term);
+    this.attempts = attempts;
     const timers = new TermTimers(context.timers);
     this.timers = timers;
     const quotas = new Quotas(context.settings.teamQuotas);
@@ -66,14 +67,19 @@
       quotas,
       pendingCommands,
       servicePlacements,
+      attempts,
       notesLocatedTasks,
     });
   }
 
-  /** Returns a number higher than any attempt of a previous term, and than any earlier one of this term. */
+  /** Returns an attempt number higher than any before. */
   nextAttempt(): Attempt {
-    this.attemptCount += 1n;
-    return ((BigInt(this.term) << ATTEMPTS_PER_TERM_BITS) + this.attemptCount) as Attempt;
+    return this.attempts.next();
+  }
+
+  /** Returns whether the attempt was started in an earlier term. */
+  isOfEarlierTerm(attempt: Attempt): boolean {
+    return this.attempts.isOfEarlierTerm(attempt);
   }
 
   // ---- jobs
@@ -118,15 +124,15 @@
   // ---- machines
 
   /** Nothing is on the machine any more: neither placements nor unexpected or ended tasks. */
-  clearMachine(machine: Machine): void {
+  clearMachine(machine: Machine, reason: ReleaseReason): void {
     this.unexpectedTasks.drop(machine);
-    this.placements.releaseAll(machine);
+    this.placements.releaseAll(machine, reason);
     machine.reportedTasks.clearExits();
   }
 
   /** The machine is proven gone, with everything on it. */
   removeMachine(machine: Machine): void {
-    this.clearMachine(machine);
+    this.clearMachine(machine, 'machineGone');
     this.machines.remove(machine);
     this.previousTerms.onMachineReconciled(machine, 'gone');
   }
--- a/src/core/state/placement_table.ts
+++ b/src/core/state/placement_table.ts
@@ -1,9 +1,11 @@
 /** Which task has a placement on which machine: the one place where placements are made, stopped and taken away. */
 import type { Job } from '../jobs/job.js';
+import type { ReleaseReason } from '../jobs/located_tasks.js';
 import type { TaskKey } from '../jobs/task_keys.js';
 import type { Machine } from '../machines/machine.js';
 import type { StepContext } from '../step_context.js';
 import type { JobId, ZoneName } from '../types.js';
+import type { AttemptNumbers } from './attempt_numbers.js';
 import type { JobTable } from './job_table.js';
 import type { PendingCommands } from './pending_commands.js';
 import { Placement, type PlacementInit } from './placement.js';
@@ -21,6 +23,7 @@
   readonly quotas: Quotas;
   readonly pendingCommands: PendingCommands;
   readonly servicePlacements: ServicePlacementSchedule;
+  readonly attempts: AttemptNumbers;
   /** Whether tasks that are found on machines are noted in their jobs: with the recovery feature. */
   readonly notesLocatedTasks: boolean;
 }
@@ -74,7 +77,7 @@
   /** Gives the task a placement: `planned` if a start is to be sent, otherwise as it was found on the machine. */
   add(task: NewPlacement): Placement {
     const { job, index, phase } = task;
-    if (phase !== 'planned' && this.parts.notesLocatedTasks) job.recordLocated(index);
+    if (phase !== 'planned' && this.parts.notesLocatedTasks) job.locatedTasks.add(index);
     const placement = new Placement({ ...task, placedAt: this.context.now.monotonic });
     this.index.add(placement);
     this.parts.quotas.recordUsage(job.spec, 1);
@@ -84,11 +87,13 @@
 
   // ---- taking away
 
-  /** The task is proven not to be on the machine, or not to be any more. The rest of a gang leaves too. */
-  release(placement: Placement): void {
-    const { job, machine } = placement;
+  /** The task is proven not to be on the machine, or not to be any more: `reason` says by what. The rest of a gang leaves too. */
+  release(placement: Placement, reason: ReleaseReason): void {
+    const { job, index, machine, attempt } = placement;
     if (!this.detach(placement)) return;
-    const { jobs, servicePlacements } = this.parts;
+    const { jobs, servicePlacements, attempts } = this.parts;
+    if (attempts.isOfEarlierTerm(attempt))
+      job.locatedTasks.recordRelease(index, { machine: machine.id, attempt, reason });
     if (jobs.services.has(job) || machine.hasReservation) servicePlacements.request();
     if (job.isGang && job.state === 'accepted') this.onGangTaskReleased(job);
     jobs.deactivateIfSettled(job);
@@ -107,21 +112,21 @@
   }
 
   /** Releases all placements on the machine. */
-  releaseAll(machine: Machine): void {
-    for (const placement of [...this.onMachine(machine).values()]) this.release(placement);
+  releaseAll(machine: Machine, reason: ReleaseReason): void {
+    for (const placement of [...this.onMachine(machine).values()]) this.release(placement, reason);
   }
 
   /** Releases the placements on the machine of which no start was sent: they go elsewhere. */
   releasePlanned(machine: Machine): void {
     for (const placement of [...this.onMachine(machine).values()]) {
-      if (placement.phase === 'planned') this.release(placement);
+      if (placement.phase === 'planned') this.release(placement, 'startNotSent');
     }
   }
 
   /** The job is done or cancelled: what is only planned is released, what may be on a machine is stopped. */
   onJobOver(job: Job): void {
     for (const placement of [...this.ofJob(job).values()]) {
-      if (placement.phase === 'planned') this.release(placement);
+      if (placement.phase === 'planned') this.release(placement, 'startNotSent');
       else if (job.state === 'cancelled') this.stop(placement, 0);
     }
   }
@@ -136,7 +141,7 @@
 
   /** Takes the task from its machine: at once if no start was sent, otherwise by a stop. */
   evict(placement: Placement, gracePeriodSeconds: number): void {
-    if (placement.phase === 'planned') this.release(placement);
+    if (placement.phase === 'planned') this.release(placement, 'startNotSent');
     else this.stop(placement, gracePeriodSeconds);
   }
 
--- a/src/core/state/previous_terms.ts
+++ b/src/core/state/previous_terms.ts
@@ -10,14 +10,21 @@
   trustedStartZones,
 } from '../../recovery/index.js';
 import type { Job } from '../jobs/job.js';
+import type { TaskRelease } from '../jobs/located_tasks.js';
+import { taskKey } from '../jobs/task_keys.js';
 import { workerLeaseExpiryMs } from '../lease_bounds.js';
 import type { Machine } from '../machines/machine.js';
 import { fitsWithStartZones } from '../records.js';
 import type { StepContext } from '../step_context.js';
 import type { JobId, ZoneName } from '../types.js';
 import type { MachineTable } from './machine_table.js';
+import type { Placement } from './placement.js';
 import type { Quotas } from './quotas.js';
 
+/** So many restarts of tasks begun in earlier terms have a line of their own in each term; of any more, one in so many. */
+const MAX_RESTARTS_LOGGED = 200;
+const RESTARTS_PER_LATER_LINE = 100;
+
 /** While machines that no record shows may run anything, limited teams get nothing new. */
 const UNKNOWN_CAPACITY = { cpus: Number.POSITIVE_INFINITY, gpus: Number.POSITIVE_INFINITY };
 
@@ -39,6 +46,7 @@
   private readonly jobs = new Set<Job>();
   private unreconciledCount = 0;
   private recordsToLookUp: JobId[] = [];
+  private restarts = 0;
 
   constructor(
     private readonly context: StepContext,
@@ -78,6 +86,11 @@
     this.recovery?.onUnreadablePage(this.context.after(workerLeaseExpiryMs(this.context.settings)));
   }
 
+  /** How many jobs were begun in previous terms and are not known to be done. */
+  get begunJobs(): number {
+    return this.jobs.size;
+  }
+
   /** All records have been read. */
   onLoaded(unreadableJobs: number): void {
     for (let i = 0; i < unreadableJobs; i++) this.recovery?.onUnreadableJob();
@@ -169,8 +182,25 @@
   }
 
   /** A start goes out. */
-  onTaskStarted(): void {
+  onTaskStarted(placement: Placement): void {
     this.recovery?.onTaskStarted(this.context.now.monotonic);
+    const release = placement.job.locatedTasks.takeRelease(placement.index);
+    if (release) this.logRestart(placement, release);
+  }
+
+  /** Says why a task that an earlier leader began was held to be on no machine; of very many restarts not each. */
+  private logRestart({ job, index, machine, attempt }: Placement, release: TaskRelease): void {
+    this.restarts += 1;
+    if (this.restarts > MAX_RESTARTS_LOGGED && this.restarts % RESTARTS_PER_LATER_LINE !== 0) return;
+    this.context.log('task started again', {
+      task: taskKey(job.id, index),
+      machine: machine.id,
+      attempt,
+      evidence: job.locatedTasks.has(index) ? release.reason : 'allMachinesReconciled',
+      earlierMachine: release.machine,
+      earlierAttempt: release.attempt,
+      restarts: this.restarts,
+    });
   }
 
   /** Returns what has been found so far; null where the feature is off. */
--- a/src/core/workers/commands.ts
+++ b/src/core/workers/commands.ts
@@ -52,7 +52,7 @@
   sentInResponseTo: SequenceNumber | null,
 ): Command {
   placement.recordStartSent(sentInResponseTo);
-  cluster.previousTerms.onTaskStarted();
+  cluster.previousTerms.onTaskStarted(placement);
   return { op: 'start', job: placement.job.id, index: placement.index, attempt: placement.attempt };
 }
 
--- a/src/core/workers/recovered_tasks.ts
+++ b/src/core/workers/recovered_tasks.ts
@@ -105,7 +105,7 @@
   const placement = cluster.placements.ofJob(job).get(index);
   if (!placement) return null;
   if (placement.phase !== 'planned') return placement;
-  cluster.placements.release(placement);
+  cluster.placements.release(placement, 'startNotSent');
   return null;
 }
 
--- a/src/core/workers/status_reconciliation.ts
+++ b/src/core/workers/status_reconciliation.ts
@@ -38,7 +38,10 @@
 ): StatusOutcome {
   machine.messages.recordFencingToken(status.fencingToken);
   if (!machine.messages.isNewer(status)) return IGNORED;
-  if (status.fencingToken !== fencingToken && mayBeOutdated(machine)) return IGNORED;
+  if (status.fencingToken !== fencingToken && mayBeOutdated(machine)) {
+    cluster.previousTerms.recovery?.countOutdatedStatus();
+    return IGNORED;
+  }
   return new StatusReconciliation(cluster, machine, status, source).run();
 }
 
@@ -79,7 +82,7 @@
       agentEpoch: status.agentEpoch,
       lostTasks: machine.allocations.taskCount,
     });
-    cluster.clearMachine(machine);
+    cluster.clearMachine(machine, 'agentEpochEnded');
     machine.commandChannel.clearUnconfirmedStarts();
     machine.images.dropAbandonedPulls(() => false);
     this.planning = 'due';
@@ -127,7 +130,7 @@
       if (live.has(key) || placement.phase === 'planned') continue;
       if (placement.phase !== 'sent') {
         cluster.context.log('task missing from status', { task: key, machine: machine.id });
-        cluster.placements.release(placement);
+        cluster.placements.release(placement, 'missingFromStatus');
         this.planning = 'due';
       } else if (this.isStartDropped(placement)) {
         startDropped = true;
@@ -154,7 +157,7 @@
     placement.revertStart();
     const isWanted = pendingStop === null && !job.gangBroken && job.state === 'accepted';
     if (isWanted) return;
-    this.cluster.placements.release(placement);
+    this.cluster.placements.release(placement, 'startDropped');
     this.planning = 'due';
   }
 
@@ -182,7 +185,7 @@
       // says so.
       if (machine.commandChannel.isUnconfirmed(startKeyOf(known))) return null;
       // An older attempt is still there: the known one can't have been started.
-      cluster.placements.release(known);
+      cluster.placements.release(known, 'earlierAttemptFound');
     }
     if (cluster.previousTerms.recovery) return recoverLiveTask(cluster, machine, task, unexpected);
     return placeReportedTask(cluster, machine, task);
--- a/src/core/workers/task_exits.ts
+++ b/src/core/workers/task_exits.ts
@@ -35,7 +35,7 @@
   if (!placement) return 'noPlacement';
   if (job.isService) recordReplicaExit(cluster, placement, task);
   else if (!hasResult) recordFailure(cluster, placement, task);
-  cluster.placements.release(placement);
+  cluster.placements.release(placement, 'exited');
   return 'placementReleased';
 }
 
@@ -46,7 +46,11 @@
   cluster.previousTerms.recovery?.countTask(taskClass);
   const job = cluster.jobs.get(task.job);
   if (!job) return;
-  job.recordLocated(task.index);
+  job.locatedTasks.add(task.index);
+  if (cluster.isOfEarlierTerm(task.attempt)) {
+    const release = { machine: machine.id, attempt: task.attempt, reason: 'exited' } as const;
+    job.locatedTasks.recordRelease(task.index, release);
+  }
   if (action !== 'requeue' || job.isService) return;
   const now = cluster.context.now.monotonic;
   recordFailure(cluster, { job, machine, placedAt: now, runningSince: now }, task);
@@ -169,7 +173,7 @@
   const { failureHistory } = job;
   job.retries.delayUntil(cluster.context.after(failureHistory.backoffMs));
   for (const other of [...cluster.placements.ofJob(job).values()])
-    if (other.phase === 'planned') cluster.placements.release(other);
+    if (other.phase === 'planned') cluster.placements.release(other, 'startNotSent');
 }
 
 /** Whether the machine is at fault is judged once it is known how the job does elsewhere (health_checks.ts). */
--- a/src/recovery/recovery.ts
+++ b/src/recovery/recovery.ts
@@ -28,6 +28,7 @@
   private unreadableRecords = 0;
   private missingTasks = 0;
   private longestBacklog = 0;
+  private outdatedStatuses = 0;
   private loaded = false;
   private finishedAt: MonotonicTime | null = null;
   private firstStartAt: MonotonicTime | null = null;
@@ -137,6 +138,11 @@
     this.longestBacklog = Math.max(this.longestBacklog, length);
   }
 
+  /** A status was passed over: it may be older than a command of an earlier leader that is still on its way. */
+  countOutdatedStatus(): void {
+    this.outdatedStatuses += 1;
+  }
+
   // ---- the end
 
   /**
@@ -170,6 +176,7 @@
       missingTasks: this.missingTasks,
       unreadableRecords: this.unreadableRecords,
       longestBacklog: this.longestBacklog,
+      outdatedStatuses: this.outdatedStatuses,
       orphans: this.orphans.list(),
     };
   }
--- a/src/recovery/summary.ts
+++ b/src/recovery/summary.ts
@@ -28,6 +28,8 @@
   readonly unreadableRecords: number;
   /** The most heartbeats that waited for their turn. */
   readonly longestBacklog: number;
+  /** Statuses that were passed over, as commands of an earlier leader might still have changed what they show. */
+  readonly outdatedStatuses: number;
   readonly orphans: readonly Orphan[];
 }
 
@@ -56,7 +58,8 @@
 
 /** Returns the fields of the log line of the summary; counts of 0 are left out. */
 export function summaryFields(summary: RecoverySummary): Record<string, number> {
-  const { term, machines, unregisteredMachines, missingTasks, unreadableRecords, longestBacklog } = summary;
+  const { term, machines, unregisteredMachines, missingTasks, unreadableRecords, longestBacklog, outdatedStatuses } =
+    summary;
   const fields: Record<string, number> = { term, machines };
   if (summary.finishedAt !== null) fields.durationSeconds = toSeconds(summary.finishedAt - summary.startedAt);
   if (summary.firstStartAt !== null)
@@ -68,6 +71,7 @@
     missingTasks,
     unreadableRecords,
     longestBacklog,
+    outdatedStatuses,
   };
   for (const [name, count] of Object.entries(counts)) if (count > 0) fields[name] = count;
   return fields;
--- a/test/sim/controller_process.ts
+++ b/test/sim/controller_process.ts
@@ -254,6 +254,7 @@
     const { level, event, fields } = output;
     world.meters.onLogEvent(output);
     if (world.verbose) console.error((world.clock.now / 1000).toFixed(2), this.name, level, event, fields);
+    if (event === 'task started again') world.restartEvidence.set(String(fields.task), String(fields.evidence));
     if (level === 'error') world.errors.push(`${event} ${JSON.stringify(fields)}`);
   }
 
--- a/test/sim/scenario/checks/recovery.ts
+++ b/test/sim/scenario/checks/recovery.ts
@@ -72,6 +72,11 @@
     world.errors.splice(0, world.errors.length, ...others);
     return null;
   },
+  /** started-again TASK EVIDENCE: a leader started it again after an earlier one, and said so with this evidence */
+  'started-again'(world, [task, evidence]) {
+    const logged = world.restartEvidence.get(task ?? '');
+    return logged === evidence ? null : `${task} was started again on the evidence ${logged}, not ${evidence}`;
+  },
   /** recorded-zones JOB ZONE ...: the zones that its record names */
   'recorded-zones'(world, [id, ...zones]) {
     const record = decodeJob(world.stateStore.item(jobKey(id as JobId))?.value);
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -54,6 +54,8 @@
   readonly faultyJobs = new Set<JobId>();
   /** Log events of level `error`, and what else must not happen. */
   readonly errors: string[] = [];
+  /** Why tasks of earlier terms were held to be gone when they were last started again, by their names. */
+  readonly restartEvidence = new Map<string, string>();
   readonly limits: Limits;
   readonly workerTiming: Settings['workers'];
   readonly meters: ResourceMeters;
