Simulator: whether an answer is older is judged by when it was given, not when it arrived

Traced: the poll was answered at 47.136, the cancellation was given at 47.198 and told at 47.200, and the poll's answer took until 47.422 over a link with 400 ms of latency. The rule forbids answers that are given after the user was told; the check took the time of arrival, on the ground that a user has one request at a time, which a cancellation beside a poll is not.

Change: the time at which an answer was given counts for all requests, as it did for bursts of polls. Where a user has one request at a time the two times can't be told apart by the check: an answer that is given earlier arrives before the next is asked.

--- a/test/sim/users.ts
+++ b/test/sim/users.ts
@@ -42,7 +42,7 @@
 
   private sendUserRequest(
     request: UserRequest,
-    done: (response: UserResponse | null, asked?: Build, givenAt?: number, leftAt?: number) => void,
+    done: (response: UserResponse | null, asked?: Build, givenAt?: number) => void,
   ): void {
     // As the load balancer sees it: healthy controllers, else any that is up.
     const up = this.world.controllers.filter((controller) => controller.isRunning);
@@ -58,13 +58,13 @@
       return;
     }
     const { build } = controller;
-    this.sendUserRequestTo(controller, request, (response, givenAt, leftAt) => done(response, build, givenAt, leftAt));
+    this.sendUserRequestTo(controller, request, (response, givenAt) => done(response, build, givenAt));
   }
 
   private sendUserRequestTo(
     controller: ControllerProcess,
     request: UserRequest,
-    done: (response: UserResponse | null, givenAt: number, leftAt: number) => void,
+    done: (response: UserResponse | null, givenAt: number) => void,
   ): void {
     let givenAt = this.clock.now;
     const serve = (reply: (response: UserResponse) => void): void =>
@@ -72,10 +72,9 @@
         givenAt = this.clock.now;
         reply(response);
       });
-    // With one request at a time a response that arrives is the newest; only the polls of a burst overtake each other.
-    const sendsBursts = this.pollBurstsUntil > 0;
+    // A user's cancellation overtakes a poll that is under way, and polls of a burst each other: what counts is when it was given.
     this.world.network.request<UserResponse>('users', controller.name, USER_TIMEOUT_MS, serve, (response) =>
-      done(response, sendsBursts ? givenAt : this.clock.now, givenAt),
+      done(response, givenAt),
     );
   }
 
@@ -141,9 +140,10 @@
   cancel(id: JobId): void {
     this.invariants.cancellationRequested.add(id);
     const again = (until: number): void => {
-      this.sendUserRequest({ op: 'cancel', id }, (response, _, givenAt, leftAt) => {
+      this.sendUserRequest({ op: 'cancel', id }, (response, _, givenAt) => {
         // A user who cancels what has yet to be accepted may be answered 404 just before the submission gets through.
-        const isEarlier404 = response?.status === 404 && this.invariants.wasAcceptedAfter(id, leftAt ?? this.clock.now);
+        const isEarlier404 =
+          response?.status === 404 && this.invariants.wasAcceptedAfter(id, givenAt ?? this.clock.now);
         if (response && !isEarlier404) this.invariants.onResponse(id, response, givenAt);
         if ((response === null || response.status === 503) && this.clock.now < until)
           this.clock.schedule(1000, () => again(until));
