--- a/src/core/health/straggler_checks.ts
+++ b/src/core/health/straggler_checks.ts
@@ -47,7 +47,7 @@
       evidence ??= new Map();
       const logStandardDeviation = this.cluster.runtimeEstimator.logStandardDeviation(job.spec);
       evidence.set(job.id, { logRatio, logStandardDeviation });
-      if (logRatio > STRAGGLER_LOG_RATIO) job.recordSlowMachine(machine.id);
+      if (logRatio > STRAGGLER_LOG_RATIO) job.schedulingHistory.recordSlowMachine(machine.id);
     }
     return evidence ?? NO_EVIDENCE;
   }
@@ -57,7 +57,7 @@
     if (phase !== 'running' || runningSince === null) return 0;
     // A service runs for as long as its user wants, and a gang is as slow as its slowest machine.
     if (job.isService || (job.isGang && job.spec.taskCount > 1)) return 0;
-    if (job.isMisestimated) return 0;
+    if (job.schedulingHistory.isMisestimated) return 0;
     const ranSeconds = (now - runningSince) / 1000;
     return Math.max(0, Math.log(ranSeconds / this.cluster.runtimeEstimator.expectedSeconds(job.spec)));
   }
--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -1,15 +1,13 @@
 /** One job as the leader holds it: its description, its state, and which of its tasks are done, placed or waiting. */
 import type { JobRecord, JobState } from '../records.js';
-import type { JobId, JobSpec, MachineId, MonotonicTime, Revision, WallClockTime, ZoneName } from '../types.js';
+import type { JobId, JobSpec, MonotonicTime, Revision, WallClockTime, ZoneName } from '../types.js';
 import { FailureHistory } from './failure_history.js';
 import { LocatedTasks } from './located_tasks.js';
 import { RangeSet } from './range_set.js';
 import { Retries } from './retries.js';
+import { SchedulingHistory } from './scheduling_history.js';
 import { StoredJobState } from './stored_job_state.js';
 
-/** A job that runs long on so many machines was estimated wrongly, and is no evidence against any of them. */
-const MISESTIMATED_AFTER_MACHINES = 2;
-
 /** How soon a job's record has to be written: `immediate` where something else can't happen before. */
 type WriteUrgency = 'none' | 'deferrable' | 'immediate';
 
@@ -23,6 +21,8 @@
   readonly retries = new Retries();
   /** How its tasks have failed, and whether it is itself at fault. */
   readonly failureHistory = new FailureHistory();
+  /** How often it was moved or preempted others, and whether its run times were estimated wrongly. */
+  readonly schedulingHistory = new SchedulingHistory();
   /** Which tasks were found after a failover, and how they ended. */
   readonly locatedTasks = new LocatedTasks();
   /** What is known to be complete, durable or not. */
@@ -37,9 +37,6 @@
   /** Tasks that are also on a machine where they don't belong, and on how many. */
   private readonly unexpectedTasks = new Map<number, number>();
   private readonly placedTasks = new Set<number>();
-  private readonly slowMachines = new Set<MachineId>();
-  private migrations = 0;
-  private preemptions = 0;
   private waitingReplicaSince: MonotonicTime | null = null;
   private lastActiveAt = 0 as MonotonicTime;
   /** Every task below this number is done or has a place. */
@@ -212,11 +209,6 @@
     this.isGangBroken = false;
   }
 
-  /** The largest number of its tasks that one zone may hold. */
-  get maxTasksPerZone(): number {
-    return this.spec.zoneSpread ? Math.ceil(this.spec.taskCount / 2) : this.spec.taskCount;
-  }
-
   // ---- waiting tasks
 
   /** How many tasks wait for a place; of a gang all or none. */
@@ -302,40 +294,8 @@
     else this.unexpectedTasks.delete(index);
   }
 
-  // ---- judgements
-
   /** Whether it fails wherever it runs: then it is the job itself that is at fault. */
   get isFaulty(): boolean {
     return this.failureHistory.isFaulty;
   }
-
-  /** A task of it took far longer than expected on the machine. */
-  recordSlowMachine(machine: MachineId): void {
-    this.slowMachines.add(machine);
-  }
-
-  /** Whether it runs long wherever it runs: its run time says nothing of its machines. */
-  get isMisestimated(): boolean {
-    return this.slowMachines.size >= MISESTIMATED_AFTER_MACHINES;
-  }
-
-  /** How often it was moved to machines that hold its image. */
-  get migrationCount(): number {
-    return this.migrations;
-  }
-
-  /** It is being moved to machines that hold its image. */
-  recordMigration(): void {
-    this.migrations += 1;
-  }
-
-  /** How often tasks of lower priority were preempted for it. */
-  get preemptionCount(): number {
-    return this.preemptions;
-  }
-
-  /** Tasks of lower priority are being preempted for it. */
-  recordPreemption(): void {
-    this.preemptions += 1;
-  }
 }
--- a/src/core/scheduler/apply.ts
+++ b/src/core/scheduler/apply.ts
@@ -108,7 +108,7 @@
 
 /** Stops the victims and keeps their machines for the job; counts as one of the preemptions that a gang may cause. */
 export function applyGangPreemption(cluster: SchedulableCluster, preemption: Preemption): void {
-  preemption.job.recordPreemption();
+  preemption.job.schedulingHistory.recordPreemption();
   applyPreemption(cluster, preemption);
 }
 
@@ -129,7 +129,7 @@
 
 /** Stops the gang and keeps the machines to which it moves; it starts there with a later round. */
 export function applyGangMigration(cluster: SchedulableCluster, { job, targets, reservationMs }: GangMigration): void {
-  job.recordMigration();
+  job.schedulingHistory.recordMigration();
   for (const machine of targets) machine.reserve(job.id, cluster.context.after(reservationMs));
   cluster.placements.breakGang(job);
 }
--- a/src/core/scheduler/migration.ts
+++ b/src/core/scheduler/migration.ts
@@ -37,7 +37,7 @@
 function mayMigrate(job: Job): boolean {
   if (!job.isGang || job.isFaulty || job.state !== 'accepted' || job.gangBroken) return false;
   // A zone spread would have to be kept across both sets of machines: not worth it here.
-  if (job.spec.zoneSpread || job.migrationCount >= MAX_MIGRATIONS_PER_JOB) return false;
+  if (job.spec.zoneSpread || job.schedulingHistory.migrationCount >= MAX_MIGRATIONS_PER_JOB) return false;
   return job.placedCount === job.spec.taskCount;
 }
 
--- a/src/core/scheduler/placement_constraints.ts
+++ b/src/core/scheduler/placement_constraints.ts
@@ -3,6 +3,7 @@
 import type { Machine } from '../machines/machine.js';
 import type { MachineType, ZoneName } from '../types.js';
 import type { ClusterState } from './cluster_state.js';
+import { maxTasksPerZone } from './zone_allowance.js';
 
 /** Returns whether a job allows machines of a type in a zone, and one of its tasks fits an empty one (Eq. (10)). */
 export function isFeasibleType({ spec }: Job, type: MachineType, zone: ZoneName): boolean {
@@ -42,7 +43,9 @@
 export function canPlaceTask(cluster: ClusterState, job: Job, machine: Machine): boolean {
   if (!isFeasibleNow(cluster, job, machine) || cluster.quotas.remainingTasks(job.spec) < 1) return false;
   if (job.spec.singleZone && !runsOnlyInZone(cluster, job, machine.zone)) return false;
-  return !job.spec.zoneSpread || (cluster.placements.taskCountByZone(job).get(machine.zone) ?? 0) < job.maxTasksPerZone;
+  return (
+    !job.spec.zoneSpread || (cluster.placements.taskCountByZone(job).get(machine.zone) ?? 0) < maxTasksPerZone(job)
+  );
 }
 
 /** Returns whether all placed tasks of the job are in the zone. */
--- a/src/core/scheduler/preemption.ts
+++ b/src/core/scheduler/preemption.ts
@@ -53,7 +53,7 @@
     !spec.zoneSpread &&
     job.placedCount === 0 &&
     !job.gangBroken &&
-    job.preemptionCount < MAX_PREEMPTIONS_PER_JOB &&
+    job.schedulingHistory.preemptionCount < MAX_PREEMPTIONS_PER_JOB &&
     waitedSeconds(cluster, job) >= MIN_WAITED_SECONDS &&
     cluster.quotas.remainingTasks(spec) >= spec.taskCount
   );
--- a/src/core/workers/task_exits.ts
+++ b/src/core/workers/task_exits.ts
@@ -87,8 +87,9 @@
   const logRatio = runtimeEstimator.observe(job.spec, (context.now.monotonic - runningSince) / 1000);
   // A gang is as slow as its slowest machine: only a gang of one says which that is.
   if (job.isGang && job.spec.taskCount > 1) return;
-  if (logRatio > STRAGGLER_LOG_RATIO) job.recordSlowMachine(machine.id);
-  if (!job.isMisestimated) machine.stragglerDetector.record(job.id, { logRatio, logStandardDeviation });
+  if (logRatio > STRAGGLER_LOG_RATIO) job.schedulingHistory.recordSlowMachine(machine.id);
+  if (!job.schedulingHistory.isMisestimated)
+    machine.stragglerDetector.record(job.id, { logRatio, logStandardDeviation });
 }
 
 /**
