--- a/test/measure/cold_start.ts
+++ b/test/measure/cold_start.ts
@@ -12,7 +12,8 @@
 /*
  * Measures a cold start on stand-ins: all controllers end at once and are back 5 s later, while one machine in a hundred
  * vanishes, or none does. The same seeds for the version in production and this one, with recovery off and on.
- *   node target/check/test/measure/cold_start.js [WORKERS ...]
+ *   node target/check/test/measure/cold_start.js [--failures] [WORKERS ...]
+ * With --failures all tasks fail on one machine in a hundred while no controller is up; measured is when they run again.
  */
 
 const CRASH_SECONDS = 40;
@@ -25,6 +26,9 @@
 /** Tasks take a core each. */
 const TASKS_PER_MACHINE = C8.cpus;
 const VANISHING_SHARE = 0.01;
+const FAILING_SHARE = 0.01;
+/** So long after the crash tasks fail. */
+const FAILURE_DELAY_MS = 2000;
 const SAMPLE_INTERVAL_MS = 20;
 const ZONES = ['a', 'b', 'c'] as ZoneName[];
 const TYPES = [{ ...C8, zones: ZONES }];
@@ -80,12 +84,56 @@
   readonly renewed: Histogram;
   /** Of a job begun before. */
   firstStartSeconds: number;
+  /** For each task that failed while no controller was up, how long after the election it was on a machine again. */
+  readonly restartSeconds: number[];
+}
+
+/** A task that failed while no controller was up. */
+interface FailedTask {
+  readonly job: JobId;
+  readonly index: number;
+}
+
+/** All tasks on these machines fail a moment after the crash; returns those that did, once they have. */
+function failTasksLater(world: World, machines: readonly MachineId[]): readonly FailedTask[] {
+  const failed: FailedTask[] = [];
+  world.clock.schedule(FAILURE_DELAY_MS, () => {
+    for (const id of machines) {
+      const worker = world.workers.get(id);
+      for (const task of [...(worker?.tasks.values() ?? [])]) {
+        if (task.phase === 'exited') continue;
+        failed.push({ job: task.job, index: task.index });
+        worker?.executor.exit(task, 'error');
+      }
+    }
+  });
+  return failed;
+}
+
+/** Watches tasks that failed until they are on a machine again. */
+class RestartWatch {
+  private readonly restarted = new Set<FailedTask>();
+
+  constructor(
+    private readonly world: World,
+    private readonly failed: readonly FailedTask[],
+  ) {}
+
+  /** Returns those that are there again since it was last asked. */
+  takeNew(): FailedTask[] {
+    const { tasksOnMachines } = this.world.invariants;
+    const isAgainThere = ({ job, index }: FailedTask): boolean => tasksOnMachines.get(job)?.has(index) ?? false;
+    const found = this.failed.filter((task) => !this.restarted.has(task) && isAgainThere(task));
+    for (const task of found) this.restarted.add(task);
+    return found;
+  }
 }
 
 /** Watches the workers' side: when each was first answered by the new leader, and the first start after that. */
-function watchRecovery(world: World, lost: ReadonlySet<MachineId>): Measurement {
+function watchRecovery(world: World, lost: ReadonlySet<MachineId>, failed: readonly FailedTask[]): Measurement {
   const renewed = makeHistogram({ highestTrackableValue: 120_000, numberOfSignificantValueDigits: 3 });
-  const measured: Measurement = { renewed, firstStartSeconds: Number.NaN };
+  const measured: Measurement = { renewed, firstStartSeconds: Number.NaN, restartSeconds: [] };
+  const restarts = new RestartWatch(world, failed);
   const startsBefore = new Map(world.invariants.startsByJob);
   const before = world.stateStore.item('leader')?.version;
   const waiting = new Set([...world.workers.keys()].filter((id) => !lost.has(id)));
@@ -101,6 +149,7 @@
       renewed.recordValue(sinceMs);
       waiting.delete(id);
     }
+    measured.restartSeconds.push(...restarts.takeNew().map(() => sinceMs / 1000));
     if (Number.isNaN(measured.firstStartSeconds) && hasStartedMore(world, startsBefore))
       measured.firstStartSeconds = sinceMs / 1000;
   };
@@ -121,20 +170,41 @@
   return begun;
 }
 
-function measure(workers: number, build: Build, vanish: boolean, oldVersions: ReadonlyMap<string, Build>): string {
+/** The median and the largest of some times, and how many of `all` they are. */
+function describeTimes(seconds: readonly number[], all: number): string {
+  if (all === 0) return '-';
+  const sorted = [...seconds].sort((first, second) => first - second);
+  const median = sorted[Math.floor(sorted.length / 2)] ?? Number.NaN;
+  const largest = sorted.at(-1) ?? Number.NaN;
+  return `${median.toFixed(2)}/${largest.toFixed(2)} (${sorted.length} of ${all})`;
+}
+
+/** What one of the measured worlds meets. */
+interface Case {
+  readonly workers: number;
+  readonly build: Build;
+  readonly vanish: boolean;
+  readonly failures: boolean;
+}
+
+function measure({ workers, build, vanish, failures }: Case, oldVersions: ReadonlyMap<string, Build>): string {
   const world = makeWorld(workers, build, oldVersions);
   submitWork(world, workers);
   world.startControllers();
   world.clock.runUntil(CRASH_SECONDS * 1000 - 1);
   const leasesBefore = world.expiredLeases;
-  const lost = new Set([...world.workers.keys()].slice(0, vanish ? Math.ceil(workers * VANISHING_SHARE) : 0));
+  const ids = [...world.workers.keys()];
+  const vanishing = Math.ceil(workers * VANISHING_SHARE);
+  const failing = failures ? Math.ceil(workers * FAILING_SHARE) : 0;
+  const lost = new Set(ids.slice(0, vanish ? vanishing : 0));
   crashControllers(world, 'all', String(RESTART_SECONDS));
   for (const id of lost) world.cloud.interrupt(id);
   world.commandCounts.reset();
-  const measured = watchRecovery(world, lost);
+  const failed = failTasksLater(world, ids.slice(vanishing, vanishing + failing));
+  const measured = watchRecovery(world, lost, failed);
   stepMicroseconds = 0;
   world.clock.runUntil(END_SECONDS * 1000);
-  const { renewed, firstStartSeconds } = measured;
+  const { renewed, firstStartSeconds, restartSeconds } = measured;
   const orders = (['start', 'stop', 'acknowledge', 'inquiry'] as const)
     .map((kind) => world.commandCounts.count(kind))
     .join('/');
@@ -152,12 +222,15 @@
     told,
     firstStartSeconds.toFixed(2),
     certainS,
+    describeTimes(restartSeconds, failed.length),
   ];
   const losses = `${world.expiredLeases - leasesBefore}/${world.invariants.violations.length}`;
   return `| ${[...cells, losses, (stepMicroseconds / 1e6).toFixed(2)].join(' | ')} |`;
 }
 
-const sizes = process.argv.slice(2).map(Number);
+const words = process.argv.slice(2);
+const failures = words.includes('--failures');
+const sizes = words.filter((word) => word !== '--failures').map(Number);
 const oldVersions = await loadOldVersions();
 const production = oldVersions.get('production');
 if (!production) throw new Error('the version in production is not built');
@@ -165,10 +238,10 @@
 console.log(
   '| workers | vanish | build | start/stop/forget/inquiry | begun again | renewed p50/p99/max s | begun job goes on s |',
 );
-console.log('  certain s | leases lost/rules broken | steps, s of processor time |');
+console.log('  certain s | failed tasks again p50/max s | leases lost/rules broken | steps, s of processor time |');
 for (const workers of sizes.length > 0 ? sizes : [30, 600, 4000]) {
   for (const vanish of [false, true]) {
     for (const build of [production, FEATURES_OFF, CURRENT_BUILD])
-      console.log(measure(workers, build, vanish, oldVersions));
+      console.log(measure({ workers, build, vanish, failures }, oldVersions));
   }
 }
