Generators of scenario lines stand once, for both properties over whole worlds

Cause: takeover_properties.test.ts wrote again what cold_start_properties.test.ts had.

Change: test/support/scenario_lines.ts; the tests and their bounds are as they were.

--- a/test/cold_start_properties.test.ts
+++ b/test/cold_start_properties.test.ts
@@ -6,6 +6,7 @@
 import { parseScenarioText } from './sim/scenario/parser.js';
 import { runScenario } from './sim/scenario/runner.js';
 import { checkProperty } from './support/properties.js';
+import { constantWord, halfSeconds, machineName, scenarioLineWithin } from './support/scenario_lines.js';
 
 /* Generated scenarios round cold starts. Counter-examples are lines of a scenario: kept, they go to test/scenarios/. */
 
@@ -20,12 +21,8 @@
 ];
 const END_LINES = ['at 200 cancel job-4', 'until 330'];
 
-const halfSeconds = (from: number, to: number): fc.Arbitrary<number> =>
-  fc.integer({ min: from * 2, max: to * 2 }).map((half) => half / 2);
-const machineName = fc.nat(3).map((number) => `i-00000${number}`);
-const scenarioLine = (...parts: fc.Arbitrary<string | number>[]): fc.Arbitrary<string> =>
-  fc.tuple(halfSeconds(8, 90), ...parts).map(([at, ...words]) => `at ${at} ${words.join(' ')}`);
-const constantWord = (text: string): fc.Arbitrary<string> => fc.constant(text);
+const machine = machineName(4);
+const scenarioLine = scenarioLineWithin(8, 90);
 
 const coldStart = scenarioLine(constantWord('crash all'), halfSeconds(0.5, 25));
 const fault = fc.oneof(
@@ -34,15 +31,15 @@
   scenarioLine(constantWord('crash-at'), fc.constantFrom('before-acquire', 'after-acquire'), constantWord('2 0.2')),
   scenarioLine(
     constantWord('partition'),
-    machineName,
+    machine,
     constantWord('*'),
     halfSeconds(2, 25),
     fc.constantFrom('delay', 'drop'),
   ),
-  scenarioLine(constantWord('interrupt'), machineName),
-  scenarioLine(constantWord('hang'), machineName, halfSeconds(1, 20)),
+  scenarioLine(constantWord('interrupt'), machine),
+  scenarioLine(constantWord('hang'), machine, halfSeconds(1, 20)),
   scenarioLine(constantWord('duplicate-heartbeats'), halfSeconds(5, 40)),
-  scenarioLine(constantWord('delay-heartbeats'), machineName, halfSeconds(2, 20)),
+  scenarioLine(constantWord('delay-heartbeats'), machine, halfSeconds(2, 20)),
   scenarioLine(constantWord('delay-writes 0.3'), halfSeconds(2, 15)),
   scenarioLine(constantWord('store-outage'), halfSeconds(1, 15)),
   scenarioLine(constantWord('store-refuse leader'), halfSeconds(2, 15)),
--- a/test/takeover_properties.test.ts
+++ b/test/takeover_properties.test.ts
@@ -4,6 +4,7 @@
 import { parseScenarioText } from './sim/scenario/parser.js';
 import { runScenario } from './sim/scenario/runner.js';
 import { checkProperty } from './support/properties.js';
+import { halfSeconds, machineName, scenarioLineWithin, constantWord as word } from './support/scenario_lines.js';
 
 /*
  * Generated worlds in which leaders change while tasks fail, responses are lost and single machines are cut off: what a worker
@@ -55,13 +56,8 @@
   cpuLimit: 120,
 };
 
-const halfSeconds = (from: number, to: number): fc.Arbitrary<number> =>
-  fc.integer({ min: from * 2, max: to * 2 }).map((half) => half / 2);
-const machineOf = ({ machines }: WorldSize): fc.Arbitrary<string> =>
-  fc.nat(machines - 1).map((number) => `i-${String(number).padStart(6, '0')}`);
-const scenarioLine = (...parts: fc.Arbitrary<string | number>[]): fc.Arbitrary<string> =>
-  fc.tuple(halfSeconds(8, 70), ...parts).map(([at, ...words]) => `at ${at} ${words.join(' ')}`);
-const word = (text: string): fc.Arbitrary<string> => fc.constant(text);
+const machineOf = ({ machines }: WorldSize): fc.Arbitrary<string> => machineName(machines);
+const scenarioLine = scenarioLineWithin(8, 70);
 
 /** A machine begins to fail tasks so long before it goes deaf: earlier, it would be drained by then. */
 const FAILING_BEFORE_SECONDS = 3;
