The end of an earlier attempt is kept only for tasks that may start again

Cause: it is kept for the line "task started again", but also stood for tasks that were complete or whose job was over, and stayed there as long as their job: after a failover with many running tasks that is memory for nothing.

Change: Job.mayStartAgain is asked at both places; a test.

--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -108,6 +108,11 @@
     return this.doneTasks.has(index);
   }
 
+  /** Whether the task may yet be started: the job goes on, and the task is not complete. */
+  mayStartAgain(index: number): boolean {
+    return this.currentState === 'accepted' && !this.isDone(index);
+  }
+
   /** How soon the record has to be written. */
   get writeUrgency(): WriteUrgency {
     if (this.stored.state !== 'accepted') return 'none';
--- a/src/core/state/placement_table.ts
+++ b/src/core/state/placement_table.ts
@@ -92,7 +92,7 @@
     const { job, index, machine, attempt } = placement;
     if (!this.detach(placement)) return;
     const { jobs, servicePlacements, attempts } = this.parts;
-    if (attempts.isOfEarlierTerm(attempt))
+    if (attempts.isOfEarlierTerm(attempt) && job.mayStartAgain(index))
       job.locatedTasks.recordRelease(index, { machine: machine.id, attempt, reason });
     if (jobs.services.has(job) || machine.hasReservation) servicePlacements.request();
     if (job.isGang && job.state === 'accepted') this.onGangTaskReleased(job);
--- a/src/core/workers/task_exits.ts
+++ b/src/core/workers/task_exits.ts
@@ -56,9 +56,11 @@
  * An earlier leader may have seen the exit of one of its attempts before, and have started the task again on a machine that has
  * not been heard since (exit-seen-by-earlier-leader.txt): only an exit of this term proves that the task is on no machine.
  */
-function locateMissedExit(cluster: Cluster, machine: Machine, job: Job, { index, attempt }: TaskStatus): void {
+function locateMissedExit(cluster: Cluster, machine: Machine, job: Job, task: TaskStatus): void {
+  const { index, attempt, exitReason } = task;
   if (!cluster.isOfEarlierTerm(attempt)) job.locatedTasks.add(index);
-  else job.locatedTasks.recordRelease(index, { machine: machine.id, attempt, reason: 'exited' });
+  else if ((exitReason !== 'done' || job.isService) && job.mayStartAgain(index))
+    job.locatedTasks.recordRelease(index, { machine: machine.id, attempt, reason: 'exited' });
 }
 
 /** Marks the task as done, whether or not it had a placement here. */
--- a/test/core/state/restart_log.test.ts
+++ b/test/core/state/restart_log.test.ts
@@ -109,6 +109,17 @@
     assert.equal(line?.earlierAttempt, second);
     assert.equal(line?.evidence, 'noFeasibleMachine', 'an exit of an earlier term locates nothing');
   });
+
+  test('nothing is kept for it of tasks that are complete, nor of jobs that are over', () => {
+    const { job, findAndRelease } = setUp();
+    job.markDone(1);
+    findAndRelease(1, 'exited');
+    findAndRelease(2, 'exited');
+    job.cancel();
+    findAndRelease(3, 'exited');
+    const kept = [1, 2, 3].filter((index) => job.locatedTasks.takeRelease(index) !== null);
+    assert.deepEqual(kept, [2]);
+  });
 });
 
 describe('attempt numbers', () => {
