--- a/test/sim/controller_process.ts
+++ b/test/sim/controller_process.ts
@@ -42,6 +42,8 @@
   private splitters = new Map<ControllerName, FrameSplitter>();
   private pendingReplies = new Map<number, (response: never) => void>();
   private lastRequestId = 0;
+  /** The number of command pushes of the running process that have no response yet. */
+  private openPushes = 0;
   /** Incremented whenever a timer is scheduled, so that only the latest one fires. */
   private timerGeneration = 0;
   private startCount = 0;
@@ -102,6 +104,7 @@
     this.pausedUntil = 0;
     this.deferredInputs = [];
     this.pendingReplies.clear();
+    this.openPushes = 0;
     this.generation += 1;
   }
 
@@ -235,14 +238,12 @@
 
   private pushCommands({ callId, operation }: OutputOf<'commandPush'>): void {
     const { world } = this;
-    const onResponse = this.ifStillRunning((value: CommandPushResponse | null) =>
-      this.step({ kind: 'commandPushReply', callId, result: value ? { ok: true, value } : NO_RESPONSE }),
-    );
-    world.meters.addOpenCommands(1);
-    const done = (value: CommandPushResponse | null): void => {
-      world.meters.addOpenCommands(-1);
-      onResponse(value);
-    };
+    const done = this.ifStillRunning((value: CommandPushResponse | null) => {
+      this.openPushes -= 1;
+      this.step({ kind: 'commandPushReply', callId, result: value ? { ok: true, value } : NO_RESPONSE });
+    });
+    this.openPushes += 1;
+    world.meters.recordOpenPushes(this.openPushes);
     const worker = world.workers.get(operation.address as MachineId);
     const serve = (reply: (value: CommandPushResponse) => void): void =>
       worker?.receivePushedCommands(operation, reply);
--- a/test/sim/meters.ts
+++ b/test/sim/meters.ts
@@ -26,11 +26,10 @@
   private readonly stateStoreCalls = new PeakPerSecond();
   private readonly stateStoreChanges = new PeakPerSecond();
   private readonly cloudCalls = new PeakPerSecond();
-  private openCommands = 0;
   /** The number of plan steps of the most expensive planning round. */
   largestRoundSteps = 0;
-  /** The highest number of command pushes without a response at any time. */
-  peakOpenCommands = 0;
+  /** The highest number of command pushes without a response that one controller process had at any time. */
+  peakOpenPushes = 0;
   /** The number of times that a leader drained a machine because tasks failed on it. */
   drainedFaultyMachines = 0;
   /** The size of the largest frame to a peer, in bytes. */
@@ -66,10 +65,9 @@
     this.cloudCalls.add(this.clock.now, 1);
   }
 
-  /** Adds to the number of command pushes without a response; `n` may be negative. */
-  addOpenCommands(n: number): void {
-    this.openCommands += n;
-    this.peakOpenCommands = Math.max(this.peakOpenCommands, this.openCommands);
+  /** Called with the number of command pushes without a response of a controller process when it has sent one more. */
+  recordOpenPushes(count: number): void {
+    this.peakOpenPushes = Math.max(this.peakOpenPushes, count);
   }
 
   /** Called when a controller sends a message to a peer. */
--- a/test/sim/scenario/checks/controllers.ts
+++ b/test/sim/scenario/checks/controllers.ts
@@ -11,7 +11,7 @@
   'store-requests': (world) => world.meters.peakStateStoreCalls,
   'store-writes': (world) => world.meters.peakStateStoreChanges,
   'cloud-requests': (world) => world.meters.peakCloudCalls,
-  'open-pushes': (world) => world.meters.peakOpenCommands,
+  'open-pushes': (world) => world.meters.peakOpenPushes,
   'value-bytes': (world) => world.stateStore.largestValueLength,
   'frame-bytes': (world) => world.meters.largestFrameBytes,
 };
