Leaders renew leases only on a read view of jobs, and every renewal stops cancelled tasks

Cause: a leader that lacks the machine types stays loading. It renewed all workers' leases without looking at the jobs that it knew to be cancelled, and counted the age of its view from its own election. The next leader began anew, so the bound of lease_bounds.ts held for each leader and not for a row of them. Leaders that are refused reads of jobs did the same, with the cloud in order.

Change: the age of the view counts from the last read of jobs, by this controller in whatever role; a process that has read none has no view. All responses that renew a lease are built in one place and stop the reported tasks of cancelled jobs, also in the answers to statuses that are not believed, from the backlog, and to machines of unknown types. Records are read at the election, whether or not the types are known. Two checks of the leader became modules of their own.

Why it works: a renewal at any time either stops a task whose job the view shows as cancelled, or rests on a view from before the cancellation, which is at most cancel_s less a lease old.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -96,7 +96,12 @@
     return new Election(this.context, incarnation, {
       onElected: (leadership) => {
         this.setIsLeader(true);
-        this.leader = new Leader(this.context, this.election, this.jobCache, leadership, this.catalog.types, this.seed);
+        this.leader = new Leader(this.context, this.election, this.jobCache, {
+          leadership,
+          types: this.catalog.types,
+          seed: this.seed,
+          isAnyPeerAbleToLead: () => this.peers.isAnyAbleToLead(),
+        });
         this.statusExchange.sendStatus();
         this.catalog.refresh();
       },
--- a/src/core/jobs/job_cache.ts
+++ b/src/core/jobs/job_cache.ts
@@ -54,7 +54,7 @@
   private readonly watchTimer: Timer;
   private isLeader = false;
   private readonly leaderWatchWaitMs: number;
-  private asOf: MonotonicTime;
+  private asOf = Number.NEGATIVE_INFINITY as MonotonicTime;
 
   /** `onRecord` is called with each record that is newer than the known one. */
   constructor(
@@ -67,10 +67,9 @@
       LEADER_WATCH_WAIT_MS,
       maxJobViewAgeMs(context.settings) / WATCHES_PER_MAX_VIEW_AGE,
     );
-    this.asOf = context.now.monotonic;
   }
 
-  /** The copy includes everything that the state store held at this time. */
+  /** The copy includes everything that the state store held at this time. Negative infinity before the first read. */
   get currentAsOf(): MonotonicTime {
     return this.asOf;
   }
--- a/src/core/leadership/election.ts
+++ b/src/core/leadership/election.ts
@@ -25,7 +25,12 @@
 const LEASE_ID_PATTERN = /^\d+$/;
 
 /** Why a leader steps down voluntarily. The text is logged unchanged. */
-export type StepDownReason = 'isolated from workers' | 'responses do not reach machines' | 'view of jobs too old';
+export type StepDownReason =
+  | 'isolated from workers'
+  | 'responses do not reach machines'
+  | 'view of jobs too old'
+  | 'machine types not read'
+  | 'state not read';
 
 /** Receives changes of this controller's leadership. */
 export interface ElectionCallbacks {
--- a/src/core/leadership/job_view.ts
+++ b/src/core/leadership/job_view.ts
@@ -2,7 +2,6 @@
 import type { JobCache } from '../jobs/job_cache.js';
 import { maxJobViewAgeMs } from '../lease_bounds.js';
 import type { StepContext } from '../step_context.js';
-import type { MonotonicTime } from '../types.js';
 
 /**
  * Maximum age of the view of jobs for starting tasks, in milliseconds. A cancellation that was persisted after the view
@@ -19,12 +18,12 @@
 
   /**
    * Returns whether the view is recent enough to renew workers' leases. Without this check, a leader whose own lease is
-   * renewed while it receives no updates of jobs would keep cancelled tasks alive indefinitely (no-job-news.txt).
-   * `loadingSince` is when the leader began to load the state, or null once it is loaded.
+   * renewed while it receives no updates of jobs would keep cancelled tasks alive indefinitely (no-job-news.txt). The
+   * age counts from the last read of jobs, not from the election: jobs may have been cancelled before the election, and
+   * many leaders may be elected one after the other (cloud-outage-restart-cancel.txt).
    */
-  mayRenewLeases(loadingSince: MonotonicTime | null): boolean {
-    const currentAsOf = loadingSince ?? this.jobCache.currentAsOf;
-    return this.context.now.monotonic - currentAsOf < maxJobViewAgeMs(this.context.settings);
+  mayRenewLeases(): boolean {
+    return this.context.now.monotonic - this.jobCache.currentAsOf < maxJobViewAgeMs(this.context.settings);
   }
 
   /** Returns whether the view is recent enough to start tasks. */
--- a/src/core/leadership/leader.ts
+++ b/src/core/leadership/leader.ts
@@ -18,9 +18,11 @@
 import { Reconciler, type ReconciliationLeader } from '../workers/reconciler.js';
 import { StatusRequests } from '../workers/status_requests.js';
 import type { Election } from './election.js';
+import { IsolationCheck } from './isolation_check.js';
 import { JobRecordLookup } from './job_record_lookup.js';
 import { JobView } from './job_view.js';
 import type { Leadership } from './leadership.js';
+import { LoadingLimit } from './loading_limit.js';
 import { PlanningRounds } from './planning_rounds.js';
 import { RecordWriter } from './record_writer.js';
 import { StateLoader } from './state_loader.js';
@@ -32,7 +34,8 @@
 /** The state of a leader within its term. Each state is followed by the next one or by `stopped`. */
 type LeaderState =
   /**
-   * Reads the state that previous terms left. Workers' leases are renewed meanwhile, but nothing is planned or started.
+   * Reads the state that previous terms left and the machine types. Workers' leases are renewed meanwhile and cancelled
+   * tasks are stopped, but nothing is planned or started.
    */
   | 'loading'
   /** The state is loaded, and the leader handles all inputs. */
@@ -40,6 +43,17 @@
   /** This controller is no longer the leader. Inputs that still arrive are ignored. */
   | 'stopped';
 
+/** What a leader is given for its term. */
+export interface LeaderInit {
+  readonly leadership: Leadership;
+  /** The machine types that the cloud offers. Empty if this controller has not been able to read them yet. */
+  readonly types: MachineTypes;
+  /** Determines all random choices of the scheduler. */
+  readonly seed: number;
+  /** Returns whether another controller is alive and reaches the state store. */
+  readonly isAnyPeerAbleToLead: () => boolean;
+}
+
 /** A new instance is created for every term. */
 export class Leader implements HeartbeatLeader, CommandLeader, ReconciliationLeader {
   private readonly cluster: Cluster;
@@ -54,22 +68,19 @@
   private readonly planningRounds: PlanningRounds;
   private readonly jobView: JobView;
   private readonly stateLoader: StateLoader;
+  private readonly loadingLimit: LoadingLimit;
+  private readonly isolationCheck: IsolationCheck;
   private readonly jobRecordLookup: JobRecordLookup;
   private readonly healthCheckTimer: Timer;
   private readonly statusRequestTimer: Timer;
   private readonly electedAt: MonotonicTime;
   private state: LeaderState = 'loading';
-  /** Since when most machines have not reacted to heartbeat responses. Null while they react. */
-  private isolatedSince: MonotonicTime | null = null;
 
-  /** `seed` determines all random choices of the scheduler. */
   constructor(
     private readonly context: StepContext,
     private readonly election: Election,
     private readonly jobCache: JobCache,
-    leadership: Leadership,
-    types: MachineTypes,
-    seed: number,
+    { leadership, types, seed, isAnyPeerAbleToLead }: LeaderInit,
   ) {
     const { fencingToken } = leadership;
     this.electedAt = context.now.monotonic;
@@ -89,8 +100,16 @@
     this.planningRounds = this.makePlanningRounds(seed);
     this.jobView = new JobView(context, jobCache);
     this.jobRecordLookup = new JobRecordLookup(context, jobCache, this.cluster.previousTerms);
-    this.stateLoader = new StateLoader(context, this.cluster.timers, jobCache, (pages) => this.restoreState(pages));
-    this.loadState();
+    this.loadingLimit = new LoadingLimit(context, {
+      hasRecentJobView: () => this.hasRecentJobView(),
+      isAnyPeerAbleToLead,
+    });
+    this.isolationCheck = new IsolationCheck(context);
+    this.stateLoader = new StateLoader(context, this.cluster.timers, jobCache, {
+      hasMachineTypes: () => this.cluster.machineTypes.size > 0,
+      onLoaded: (pages) => this.restoreState(pages),
+    });
+    this.stateLoader.load();
     this.healthCheckTimer.set(context.after(HEALTH_CHECK_INTERVAL_MS));
   }
 
@@ -122,7 +141,7 @@
   /** Sets the cloud's list of machine types when it has been read for the first time or has changed. */
   setMachineTypes(types: MachineTypes): void {
     this.cluster.machineTypes = types;
-    this.loadState();
+    this.stateLoader.finishIfComplete();
   }
 
   /** Stops all activity after the leadership was lost. Heartbeats that still wait for a response receive status 503. */
@@ -151,7 +170,12 @@
 
   /** Returns whether the view of jobs is recent enough to renew workers' leases. */
   hasRecentJobView(): boolean {
-    return this.jobView.mayRenewLeases(this.state === 'loading' ? this.electedAt : null);
+    return this.jobView.mayRenewLeases();
+  }
+
+  /** Returns whether the job is known to be cancelled, by its record or by a broadcast. */
+  isCancelled(job: JobId): boolean {
+    return this.cluster.jobs.isCancelled(job) || this.jobCache.get(job)?.record.state === 'cancelled';
   }
 
   /** Returns whether the view of jobs is recent enough to start tasks. */
@@ -186,11 +210,6 @@
 
   // ---- failover
 
-  /** Starts reading the state that previous terms left, or reads it again, once the machine types are known. */
-  private loadState(): void {
-    if (this.state === 'loading' && this.cluster.machineTypes.size > 0) this.stateLoader.load();
-  }
-
   private restoreState(pages: readonly StoredEntry[]): void {
     // Previous leaders have renewed no worker lease since this leader was elected. This leader has renewed some of them
     // while it was loading the state.
@@ -256,32 +275,26 @@
   private runHealthChecks(): void {
     this.healthCheckTimer.set(this.context.after(HEALTH_CHECK_INTERVAL_MS));
     if (!this.isLeaseValid()) return;
+    if (this.state === 'loading') {
+      this.stepDownIfLoadingTooLong();
+      return;
+    }
     if (!this.hasRecentJobView()) {
       this.election.stepDown('view of jobs too old');
       return;
     }
-    if (this.state !== 'active') return;
     this.healthChecks.run();
     this.cluster.previousTerms.finishIfReconciled();
     this.statusRequests.probe();
     this.autoscaler.runScaleIn(this.electedAt);
     this.registry.collectImageChanges();
     this.recordWriter.flush();
-    this.stepDownIfIsolated();
+    const isIsolated = this.healthChecks.isLeaderIsolated();
+    if (this.isolationCheck.recordIsolation(isIsolated)) this.election.stepDown('responses do not reach machines');
   }
 
-  /**
-   * Steps down so that another controller can become the leader, if most machines send heartbeats but have not reacted
-   * to responses for too long.
-   */
-  private stepDownIfIsolated(): void {
-    const now = this.context.now.monotonic;
-    if (!this.healthChecks.isLeaderIsolated()) {
-      this.isolatedSince = null;
-      return;
-    }
-    this.isolatedSince ??= now;
-    if (now - this.isolatedSince < this.context.tuning.leadership.resign_after_ms) return;
-    this.election.stepDown('responses do not reach machines');
+  private stepDownIfLoadingTooLong(): void {
+    if (!this.loadingLimit.isExceeded()) return;
+    this.election.stepDown(this.stateLoader.hasReadRecords ? 'machine types not read' : 'state not read');
   }
 }
--- a/src/core/peers/peer_table.ts
+++ b/src/core/peers/peer_table.ts
@@ -73,4 +73,10 @@
     for (const peer of this.peers.values()) if (this.isAlive(peer, now)) return true;
     return false;
   }
+
+  /** Returns whether any peer is alive and reaches the state store, so that it could be elected. */
+  isAnyAbleToLead(): boolean {
+    for (const peer of this.peers.values()) if (this.isAlive(peer) && peer.status.stateStoreReachable) return true;
+    return false;
+  }
 }
--- a/src/core/state/job_table.ts
+++ b/src/core/state/job_table.ts
@@ -45,6 +45,11 @@
     if (this.cancelledBeforeRecord.size < MAX_CANCELLED_BEFORE_RECORD) this.cancelledBeforeRecord.add(id);
   }
 
+  /** Returns whether the job is known to be cancelled, even if its record is not known yet. */
+  isCancelled(id: JobId): boolean {
+    return this.byId.get(id)?.state === 'cancelled' || this.cancelledBeforeRecord.has(id);
+  }
+
   /**
    * Marks the job as active after one of its tasks was placed. It stays active until nothing of it is left to write or
    * stop.
--- a/src/core/workers/backlogged_heartbeats.ts
+++ b/src/core/workers/backlogged_heartbeats.ts
@@ -27,7 +27,7 @@
   /** Reconciles a queued heartbeat, and responds to it unless it already has a response. */
   process(backlogged: BackloggedHeartbeat): void;
   /** Returns the response to a heartbeat whose deadline expires while it is queued. */
-  leaseRenewal(): HeartbeatResponse;
+  leaseRenewal(heartbeat: Heartbeat): HeartbeatResponse;
 }
 
 /**
@@ -76,7 +76,7 @@
     for (const backlogged of this.backlog.takeDue(now)) this.callbacks.process(backlogged);
     for (const backlogged of this.backlog.pending()) {
       if (backlogged.deadline > now) break;
-      backlogged.respond?.(this.callbacks.leaseRenewal());
+      backlogged.respond?.(this.callbacks.leaseRenewal(backlogged.heartbeat));
       backlogged.respond = null;
     }
     const next = this.backlog.nextDueAt();
--- a/src/core/workers/deferred_responses.ts
+++ b/src/core/workers/deferred_responses.ts
@@ -3,7 +3,7 @@
 import type { TermTimers } from '../state/term_timers.js';
 import type { StepContext } from '../step_context.js';
 import type { Timer } from '../timers.js';
-import type { MonotonicTime, SequenceNumber } from '../types.js';
+import type { Heartbeat, MonotonicTime } from '../types.js';
 import { type HeartbeatResponder, UNAVAILABLE } from './heartbeat_response.js';
 
 /** Responses wait for a planning round that is due within the minimum spacing of rounds plus this many milliseconds. */
@@ -20,8 +20,8 @@
 export interface PendingResponse {
   readonly respond: HeartbeatResponder;
   readonly machine: Machine;
-  /** Sequence number of the heartbeat that the response belongs to. */
-  readonly sequence: SequenceNumber;
+  /** The heartbeat that the response belongs to. */
+  readonly heartbeat: Heartbeat;
 }
 
 interface DeferredResponse extends PendingResponse {
@@ -52,9 +52,9 @@
   }
 
   /** Defers a response for at most `maxDeferralMs`. */
-  defer({ respond, machine, sequence }: PendingResponse, reason: DeferralReason, maxDeferralMs: number): void {
+  defer({ respond, machine, heartbeat }: PendingResponse, reason: DeferralReason, maxDeferralMs: number): void {
     const deadline = this.context.after(maxDeferralMs);
-    this.deferred.push({ respond, machine, sequence, reason, deadline });
+    this.deferred.push({ respond, machine, heartbeat, reason, deadline });
     this.deadlineTimer.bringForward(deadline);
   }
 
--- a/src/core/workers/heartbeat_handler.ts
+++ b/src/core/workers/heartbeat_handler.ts
@@ -4,14 +4,13 @@
  */
 import { LeaseRenewals } from '../../recovery/index.js';
 import { Machine } from '../machines/machine.js';
-import type { HeartbeatResponse } from '../messages.js';
 import type { Cluster } from '../state/cluster.js';
 import type { StepContext } from '../step_context.js';
 import type { FencingToken, Heartbeat } from '../types.js';
 import { type BackloggedHeartbeat, BackloggedHeartbeats, type QueueDecision } from './backlogged_heartbeats.js';
-import { responseCommands } from './commands.js';
 import { DeferredResponses, type PendingResponse } from './deferred_responses.js';
-import { type HeartbeatResponder, leaseRenewal, UNAVAILABLE } from './heartbeat_response.js';
+import { type HeartbeatResponder, UNAVAILABLE } from './heartbeat_response.js';
+import { HeartbeatResponses, type ResponseLeader } from './heartbeat_responses.js';
 import type { Reconciler } from './reconciler.js';
 
 /** Maximum deferral of a heartbeat response for records, a planning round or the backlog, in milliseconds. */
@@ -25,13 +24,7 @@
 const IDLE_DEFERRAL_SHARE = 0.8;
 
 /** The leader's state and operations that heartbeat handling depends on. */
-export interface HeartbeatLeader {
-  /** Returns whether this controller is the leader and its lease rules out any other leader at this moment. */
-  isLeaseValid(): boolean;
-  /** Returns whether the view of jobs is recent enough to renew workers' leases. */
-  hasRecentJobView(): boolean;
-  /** Returns whether the view of jobs is recent enough to start tasks. */
-  mayStartTasks(): boolean;
+export interface HeartbeatLeader extends ResponseLeader {
   /** Returns whether the state of previous terms has been read. */
   isLoaded(): boolean;
   /** Returns whether records that a start may depend on are being written. */
@@ -58,6 +51,7 @@
   /** Times of the last lease renewals before the stored machines had been read. */
   readonly renewalsWhileLoading = new LeaseRenewals();
   private readonly context: StepContext;
+  private readonly responses: HeartbeatResponses;
   private readonly deferredResponses: DeferredResponses;
   private readonly backlog: BackloggedHeartbeats;
   private duplicates = 0;
@@ -69,13 +63,14 @@
     private readonly leader: HeartbeatLeader,
   ) {
     this.context = cluster.context;
+    this.responses = new HeartbeatResponses(cluster, fencingToken, leader);
     this.deferredResponses = new DeferredResponses(this.context, cluster.timers, {
       awaitsWrites: (machine) => leader.hasWritesInFlight() && awaitsDurableRecords(cluster, machine),
       send: (response) => this.sendResponse(response),
     });
     this.backlog = new BackloggedHeartbeats(this.context, cluster.timers, {
       process: (backlogged) => this.processBacklogged(backlogged),
-      leaseRenewal: () => (this.mayRenewLeases() ? leaseRenewal(this.fencingToken) : UNAVAILABLE),
+      leaseRenewal: (heartbeat) => this.responses.leaseRenewal(heartbeat),
     });
   }
 
@@ -93,7 +88,7 @@
         respond(UNAVAILABLE);
         return;
       case 'renewedOnly':
-        respond(leaseRenewal(this.fencingToken));
+        respond(this.responses.leaseRenewal(heartbeat));
         return;
       case 'admitted':
         this.recordAndReconcile(admission.machine, heartbeat, respond);
@@ -108,7 +103,7 @@
   // ---- admission
 
   private admit(heartbeat: Heartbeat): Admission {
-    if (!this.mayRenewLeases() || heartbeat.fencingToken > this.fencingToken) return REFUSED;
+    if (!this.responses.mayRenewLeases() || heartbeat.fencingToken > this.fencingToken) return REFUSED;
     if (!this.leader.isLoaded()) {
       this.renewalsWhileLoading.record(heartbeat.machine, this.context.now.monotonic);
       return RENEWED_ONLY;
@@ -126,13 +121,6 @@
     return { kind: 'admitted', machine };
   }
 
-  /**
-   * Returns whether responses may renew workers' leases: this controller leads and its view of jobs is recent enough.
-   */
-  private mayRenewLeases(): boolean {
-    return this.leader.isLeaseValid() && this.leader.hasRecentJobView();
-  }
-
   /**
    * Adds a machine without a stored record, or returns null if the machine type is unknown. No controller has ever sent
    * a command to such a machine, so it holds no tasks and counts as reconciled. The heartbeat may be a late copy from a
@@ -229,7 +217,7 @@
   }
 
   private processBacklogged(backlogged: BackloggedHeartbeat): void {
-    if (this.mayRenewLeases() && this.cluster.machines.isCurrent(backlogged.machine))
+    if (this.responses.mayRenewLeases() && this.cluster.machines.isCurrent(backlogged.machine))
       this.reconcileAndRespond(backlogged);
     else backlogged.respond?.(UNAVAILABLE);
   }
@@ -240,14 +228,14 @@
     const outcome = this.reconciler.reconcile(machine, heartbeat, 'heartbeat');
     machine.messages.recordHeartbeatSequence(heartbeat.sequence);
     if (respond === null) return;
-    const response: PendingResponse = { respond, machine, sequence: heartbeat.sequence };
+    const response: PendingResponse = { respond, machine, heartbeat };
     switch (outcome.kind) {
       case 'ignored':
-        respond(leaseRenewal(this.fencingToken));
+        respond(this.responses.leaseRenewal(heartbeat));
         return;
       case 'applied':
         if (outcome.planning === 'due' || isFirst) this.respondAfterPlanning(response);
-        else this.respondOrDefer(response, heartbeat);
+        else this.respondOrDefer(response);
     }
   }
 
@@ -259,8 +247,8 @@
     this.deferredResponses.defer(response, 'startsPending', MAX_DEFERRAL_MS);
   }
 
-  private respondOrDefer(response: PendingResponse, heartbeat: Heartbeat): void {
-    const { machine } = response;
+  private respondOrDefer(response: PendingResponse): void {
+    const { machine, heartbeat } = response;
     if (awaitsDurableRecords(this.cluster, machine))
       this.deferredResponses.defer(response, 'startsPending', MAX_DEFERRAL_MS);
     else if (this.isIdle(machine, heartbeat))
@@ -282,17 +270,8 @@
     return Math.min(MAX_IDLE_DEFERRAL_MS, this.context.settings.workers.heartbeatIntervalMs * IDLE_DEFERRAL_SHARE);
   }
 
-  private sendResponse({ respond, machine, sequence }: PendingResponse): void {
-    respond(this.mayRenewLeases() ? this.responseWithCommands(machine, sequence) : UNAVAILABLE);
-  }
-
-  private responseWithCommands(machine: Machine, sequence: PendingResponse['sequence']): HeartbeatResponse {
-    if (!machine.reconciled) return leaseRenewal(this.fencingToken);
-    // Starts are sent only in the response to the newest status. The next heartbeat shows whether that response was
-    // dropped.
-    const mayStartTasks = this.leader.mayStartTasks() && machine.messages.latestSequence === sequence;
-    const commands = responseCommands(this.cluster, machine, mayStartTasks ? sequence : null);
-    return { status: 200, fencingToken: this.fencingToken, commands };
+  private sendResponse({ respond, machine, heartbeat }: PendingResponse): void {
+    respond(this.responses.withCommands(machine, heartbeat));
   }
 }
 
--- /dev/null
+++ b/src/core/workers/heartbeat_responses.ts
@@ -0,0 +1,74 @@
+/**
+ * Builds the responses to heartbeats. Every response that renews a worker's lease also stops those of the reported
+ * tasks whose jobs are known to be cancelled, so a renewal never keeps them alive.
+ */
+import { startKey } from '../jobs/task_keys.js';
+import type { Machine } from '../machines/machine.js';
+import type { HeartbeatResponse } from '../messages.js';
+import type { Cluster } from '../state/cluster.js';
+import type { Command, FencingToken, Heartbeat, JobId } from '../types.js';
+import { responseCommands } from './commands.js';
+import { UNAVAILABLE } from './heartbeat_response.js';
+
+/** The leader's state that heartbeat responses depend on. */
+export interface ResponseLeader {
+  /** Returns whether this controller is the leader and its lease rules out any other leader at this moment. */
+  isLeaseValid(): boolean;
+  /** Returns whether the view of jobs is recent enough to renew workers' leases. */
+  hasRecentJobView(): boolean;
+  /** Returns whether the view of jobs is recent enough to start tasks. */
+  mayStartTasks(): boolean;
+  /** Returns whether the job is known to be cancelled. The answer does not require that the state has been loaded. */
+  isCancelled(job: JobId): boolean;
+}
+
+/** Builds each response when it is sent. A response is `UNAVAILABLE` if it may not renew the worker's lease. */
+export class HeartbeatResponses {
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly fencingToken: FencingToken,
+    private readonly leader: ResponseLeader,
+  ) {}
+
+  /**
+   * Returns whether responses may renew workers' leases: this controller leads and its view of jobs is recent enough.
+   */
+  mayRenewLeases(): boolean {
+    return this.leader.isLeaseValid() && this.leader.hasRecentJobView();
+  }
+
+  /** Returns a response to a heartbeat that was not reconciled. It carries no commands but the stops described above. */
+  leaseRenewal(heartbeat: Heartbeat): HeartbeatResponse {
+    return this.mayRenewLeases() ? this.renewalWith([], heartbeat) : UNAVAILABLE;
+  }
+
+  /** Returns a response to a reconciled heartbeat, with all commands that are due on the machine. */
+  withCommands(machine: Machine, heartbeat: Heartbeat): HeartbeatResponse {
+    if (!this.mayRenewLeases()) return UNAVAILABLE;
+    // Starts are sent only in the response to the newest status. The next heartbeat shows whether that response was
+    // dropped.
+    const isNewest = machine.messages.latestSequence === heartbeat.sequence;
+    const mayStartTasks = this.leader.mayStartTasks() && isNewest;
+    return this.renewalWith(
+      responseCommands(this.cluster, machine, mayStartTasks ? heartbeat.sequence : null),
+      heartbeat,
+    );
+  }
+
+  private renewalWith(commands: Command[], heartbeat: Heartbeat): HeartbeatResponse {
+    const stops = this.stopsOfCancelledTasks(heartbeat, commands);
+    return { status: 200, fencingToken: this.fencingToken, commands: [...commands, ...stops] };
+  }
+
+  /** Returns the stops of reported tasks of cancelled jobs that `commands` does not stop already. */
+  private stopsOfCancelledTasks({ tasks }: Heartbeat, commands: readonly Command[]): Command[] {
+    const cancelled = tasks.filter(({ job, phase }) => phase !== 'exited' && this.leader.isCancelled(job));
+    if (cancelled.length === 0) return [];
+    const stopped = new Set(
+      commands.filter(({ op }) => op === 'stop').map(({ job, index, attempt }) => startKey(job, index, attempt)),
+    );
+    return cancelled
+      .filter(({ job, index, attempt }) => !stopped.has(startKey(job, index, attempt)))
+      .map(({ job, index, attempt }) => ({ op: 'stop', job, index, attempt, gracePeriodSeconds: 0 }));
+  }
+}
--- a/test/core/workers/deferred_responses.test.ts
+++ b/test/core/workers/deferred_responses.test.ts
@@ -4,8 +4,9 @@
 import { loadPlatform } from '../../../src/config/platform.js';
 import { TermTimers } from '../../../src/core/state/term_timers.js';
 import { StepContext } from '../../../src/core/step_context.js';
-import type { ClockReading, MonotonicTime, SequenceNumber, WallClockTime } from '../../../src/core/types.js';
+import type { ClockReading, MonotonicTime, WallClockTime } from '../../../src/core/types.js';
 import { DeferredResponses } from '../../../src/core/workers/deferred_responses.js';
+import { emptyHeartbeat } from '../../golden/samples.js';
 import { CURRENT_BUILD } from '../../sim/build.js';
 import { makeMachine } from '../../support/machine_fixtures.js';
 
@@ -34,7 +35,7 @@
   const response = {
     respond: ({ status }: { readonly status: number }) => void ends.push(status),
     machine: makeMachine('i-1', '10.0.0.1:1', 'up', START as MonotonicTime, true),
-    sequence: 1n as SequenceNumber,
+    heartbeat: emptyHeartbeat,
   };
   const advanceTo = (monotonic: number): void => {
     context.beginStep(clockReading(monotonic));
--- a/test/property.test.ts
+++ b/test/property.test.ts
@@ -281,6 +281,8 @@
     ['invalid-requests', () => [secs(10, 60)]],
     ['poll-bursts', () => [secs(20, 80)]],
     ['refusal-then-outage', () => [secs(0.5, 3), secs(20, 60)]],
+    ['restart-without-catalog', () => [secs(45, 120), secs(4, 30)]],
+    ['refuse-job-reads', () => [clock.pickRandom([controller, 'followers', 'all']), secs(5, 90)]],
   ];
   const [name, words] = clock.pickRandom(choices);
   const event = events[name];
--- a/test/sim/scenario/events/controllers.ts
+++ b/test/sim/scenario/events/controllers.ts
@@ -2,6 +2,8 @@
 import type { Output, StateStoreOperation } from '../../../../src/core/messages.js';
 import { type Build, CURRENT_BUILD, CURRENT_BUILDS } from '../../build.js';
 import type { World } from '../../world.js';
+import { cancelRunning } from './jobs.js';
+import { takeCloudDown } from './machines.js';
 import { controllersNamed, type EventTable, noteFault } from './targets.js';
 
 /** The builds of old versions for scenarios that use none. */
@@ -31,6 +33,13 @@
 const acquiresLeadership = (operation: StateStoreOperation): boolean =>
   operation.op === 'compareAndSwap' && operation.changes.some((change) => 'put' in change && change.put === 'leader');
 
+/** Seconds after which the controllers that `restart-without-catalog` crashes are back. */
+const RESTART_WITHOUT_CATALOG_SECONDS = '3';
+/** Time from its first cancellations to the crash. The users may have their confirmations, the workers no stops. */
+const CRASH_AFTER_CANCELLATION_MS = 230;
+/** Number of jobs that `restart-without-catalog` cancels before the crash, and again after the restart. */
+const CANCELLED_WITHOUT_CATALOG = 2;
+
 /** Outputs that only a leader may make, by their names in `pause-before-sending`. */
 const PAUSABLE_OUTPUTS: Readonly<Record<string, (output: Output) => boolean>> = {
   terminate: (output) => output.kind === 'cloudCall' && output.operation.op === 'terminate',
@@ -101,6 +110,19 @@
       world.clock.schedule(i * Number(every) * 1000, () => crashControllers(world, 'leader', restartSeconds ?? '1'));
     }
   },
+  /**
+   * restart-without-catalog S [AFTER]: the cloud refuses every call for S seconds, and all controllers crash and restart
+   * meanwhile, so that they know no machine types. Running jobs are cancelled just before the crash and AFTER (default
+   * 6) seconds after it
+   */
+  'restart-without-catalog'(world, [seconds, after]) {
+    takeCloudDown(world, seconds);
+    cancelRunning(world, CANCELLED_WITHOUT_CATALOG);
+    world.clock.schedule(CRASH_AFTER_CANCELLATION_MS, () =>
+      crashControllers(world, 'all', RESTART_WITHOUT_CATALOG_SECONDS),
+    );
+    world.clock.schedule(Number(after ?? 6) * 1000, () => cancelRunning(world, CANCELLED_WITHOUT_CATALOG));
+  },
   /** pause CONTROLLER S: the process is paused while its clocks run on */
   pause(world, [which, seconds]) {
     for (const controller of controllersNamed(world, which)) controller.pause(noteFault(world, seconds));
--- a/test/sim/scenario/events/machines.ts
+++ b/test/sim/scenario/events/machines.ts
@@ -7,6 +7,14 @@
   for (const worker of workersNamed(world, which)) worker.hungUntil = world.clock.now + noteFault(world, seconds);
 }
 
+/** Lets the cloud refuse every call for some seconds. */
+export function takeCloudDown(world: World, seconds: string | undefined): void {
+  world.cloud.isDown = true;
+  world.clock.schedule(noteFault(world, seconds), () => {
+    world.cloud.isDown = false;
+  });
+}
+
 /** Events on machines and the cloud. */
 export const machineEvents: EventTable = {
   /** hang MACHINE S: for S seconds, the worker neither executes nor responds to anything */
@@ -38,10 +46,7 @@
   },
   /** cloud-outage S: for S seconds, the cloud refuses every call */
   'cloud-outage'(world, [seconds]) {
-    world.cloud.isDown = true;
-    world.clock.schedule(noteFault(world, seconds), () => {
-      world.cloud.isDown = false;
-    });
+    takeCloudDown(world, seconds);
   },
   /**
    * boot-fault FACTOR SHARE S [ZONE]: of the machines provisioned within S seconds in ZONE (default all zones), this
