Tasks on machines of an unlisted type are not started elsewhere while their leases are renewed

Cause: such a machine counts like an unreadable part of the registry, until its lease has ended. That time was counted once, when the state was loaded, and relies on nobody renewing the lease. The same leader renewed it with every heartbeat of the machine.

Change: a renewal for a machine of an unknown type that reports live tasks moves that time on to the end of the renewed lease. A log line names such machines. Scenarios can let the cloud's list lack a type.

--- a/src/core/leadership/state_restorer.ts
+++ b/src/core/leadership/state_restorer.ts
@@ -59,6 +59,7 @@
     // A record of an unknown machine type is kept unchanged, and its page is never written without it. The machine may
     // run any task.
     if (!type) {
+      context.log('machine of unknown type registered', { machine: record.id, type: record.type });
       this.registry.keepUnknownMachine(key, record);
       previousTerms.onUnreadablePage();
       return;
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -88,6 +88,7 @@
   ),
   'unregistered machine listed': event<MachineFields & { readonly phase: string }>('info'),
   'heartbeat received from unregistered machine': event<MachineFields>('info'),
+  'machine of unknown type registered': event<MachineFields & { readonly type: MachineTypeName }>('info'),
   'machine stopped': event<MachineFields & { readonly lostTasks: number }>('info'),
   'machine failing tasks': event<MachineFields>('info'),
   'straggler detected': event<MachineFields>('info'),
--- a/src/core/state/previous_terms.ts
+++ b/src/core/state/previous_terms.ts
@@ -104,6 +104,14 @@
     this.recovery?.onUnreadablePage(this.context.after(workerLeaseExpiryMs(this.context.settings)));
   }
 
+  /**
+   * Handles a renewal of the lease of a machine of an unknown type that reports tasks. They may run until the lease has
+   * certainly expired, wherever this leader could start them again.
+   */
+  onUntrackedLeaseRenewed(): void {
+    this.recovery?.onUntrackedLeaseRenewed(this.context.after(workerLeaseExpiryMs(this.context.settings)));
+  }
+
   /** Number of jobs that were first started in previous terms and are not known to be done. */
   get begunJobs(): number {
     return this.jobs.size;
--- a/src/core/workers/heartbeat_handler.ts
+++ b/src/core/workers/heartbeat_handler.ts
@@ -110,7 +110,10 @@
     }
     if (this.cluster.machines.wasRemoved(heartbeat.machine)) return REFUSED;
     const machine = this.cluster.machines.get(heartbeat.machine) ?? this.addUnregisteredMachine(heartbeat);
-    if (!machine) return RENEWED_ONLY;
+    if (!machine) {
+      if (hasLiveTasks(heartbeat)) this.cluster.previousTerms.onUntrackedLeaseRenewed();
+      return RENEWED_ONLY;
+    }
     if (machine.messages.isDuplicateHeartbeat(heartbeat)) {
       this.recordDuplicate(machine, heartbeat);
       return REFUSED;
@@ -275,6 +278,8 @@
   }
 }
 
+const hasLiveTasks = ({ tasks }: Heartbeat): boolean => tasks.some(({ phase }) => phase !== 'exited');
+
 /** Returns whether the machine, or the first start of a job with a task planned on it, has yet to be stored. */
 function awaitsDurableRecords({ placements }: Cluster, machine: Machine): boolean {
   if (!machine.lifecycle.isRegistered) return true;
--- a/src/recovery/recovery.ts
+++ b/src/recovery/recovery.ts
@@ -51,6 +51,14 @@
     this.unreconciled.setMayHaveUnregisteredUntil(leasesEndAt);
   }
 
+  /**
+   * Records that the lease of a machine of an unknown type is renewed. Its tasks cannot be tracked, and may run until
+   * the lease has expired.
+   */
+  onUntrackedLeaseRenewed(leaseEndsAt: MonotonicTime): void {
+    this.unreconciled.setMayHaveUnregisteredUntil(leaseEndsAt);
+  }
+
   /** Records that a job's record cannot be read. */
   onUnreadableJob(): void {
     this.unreadableRecords += 1;
--- a/src/recovery/unreconciled_machines.ts
+++ b/src/recovery/unreconciled_machines.ts
@@ -66,11 +66,11 @@
   }
 
   /**
-   * Records that a part of the registry cannot be read. The machines in it become known only when they send a
-   * heartbeat, or not at all.
+   * Records that until then there may be machines that are not tracked: a part of the registry cannot be read, or their
+   * type is unknown. Such a machine becomes known only by a heartbeat, or not at all. An earlier time has no effect.
    */
   setMayHaveUnregisteredUntil(until: MonotonicTime): void {
-    this.unregisteredUntil = until;
+    if (this.unregisteredUntil === null || until > this.unregisteredUntil) this.unregisteredUntil = until;
   }
 
   /** Returns whether there may be machines that are missing from the registry. */
--- a/test/sim/cloud.ts
+++ b/test/sim/cloud.ts
@@ -44,6 +44,8 @@
   private lastMachineNumber = 0;
   /** Whether every call is refused as unavailable. */
   isDown = false;
+  /** Machine types that are missing from the list of types. Machines of these types run on. */
+  readonly unlistedTypes = new Set<string>();
   /** The number of machines, of those provisioned next, that never boot. */
   neverBootCount = 0;
   private bootFaults: BootFault[] = [];
@@ -157,11 +159,15 @@
     return { ok: true, value: { provisioned: ids } };
   }
 
+  private listedTypes(): MachineType[] {
+    return this.types.filter(({ name }) => !this.unlistedTypes.has(name)).map((type) => ({ ...type }));
+  }
+
   private execute(op: CloudOperation): CloudResult {
     if (this.isDown) return { ok: false, error: { code: 'unavailable' } };
     switch (op.op) {
       case 'types':
-        return { ok: true, value: { machineTypes: this.types.map((type) => ({ ...type })) } };
+        return { ok: true, value: { machineTypes: this.listedTypes() } };
       case 'list':
         return this.staleList(op.after);
       case 'provision':
--- a/test/sim/scenario/events/machines.ts
+++ b/test/sim/scenario/events/machines.ts
@@ -48,6 +48,11 @@
   'cloud-outage'(world, [seconds]) {
     takeCloudDown(world, seconds);
   },
+  /** unlist-type TYPE S: for S seconds, the type is missing from the cloud's list of machine types */
+  'unlist-type'(world, [type, seconds]) {
+    world.cloud.unlistedTypes.add(type ?? '');
+    world.clock.schedule(noteFault(world, seconds), () => world.cloud.unlistedTypes.delete(type ?? ''));
+  },
   /**
    * boot-fault FACTOR SHARE S [ZONE]: of the machines provisioned within S seconds in ZONE (default all zones), this
    * share never boots, and the others take FACTOR times as long to boot
