A new leader refreshes the machine types within its own interval

What callers would see: a type that was missing from the cloud's list for a moment stays unknown to a new leader for up to five minutes; jobs wait beside idle machines of that type (idle_room).

Cause: a controller that is elected within a minute of its last read of the list kept the follower's next read, up to five minutes away. The leader relies on a list of a minute at most.

Change: the election sets the next read to a minute after the last one.

Evidence: unlisted-type-returns fails on the code before (idle_room, job-1 and job-2 not done after 200 s) and passes now.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -103,7 +103,7 @@
           isAnyPeerAbleToLead: () => this.peers.isAnyAbleToLead(),
         });
         this.statusExchange.sendStatus();
-        this.catalog.refresh();
+        this.catalog.refreshForLeader();
       },
       onLost: () => {
         this.lastRecovery = this.recoverySummary();
--- a/src/core/machines/machine_type_catalog.ts
+++ b/src/core/machines/machine_type_catalog.ts
@@ -1,7 +1,7 @@
 /** Reads the machine types that the cloud offers, with their current prices. */
 import type { StepContext } from '../step_context.js';
 import type { Timer } from '../timers.js';
-import type { MachineType, MachineTypeName, MonotonicTime } from '../types.js';
+import { addMilliseconds, type MachineType, type MachineTypeName, type MonotonicTime } from '../types.js';
 
 /** Delay of the next read after a failed one. */
 const RETRY_MS = 700;
@@ -35,9 +35,11 @@
     return this.knownTypes;
   }
 
-  /** Reads the current prices for a new leader, unless they were read within the leader's refresh interval. */
-  refresh(): void {
-    if (this.context.now.monotonic - this.readAt > LEADER_REFRESH_MS) this.read();
+  /** Refreshes the types for a new leader at its interval, which counts from the last read: now, if that is overdue. */
+  refreshForLeader(): void {
+    const dueAt = addMilliseconds(this.readAt, LEADER_REFRESH_MS);
+    if (dueAt < this.context.now.monotonic) this.read();
+    else if (this.knownTypes.size > 0) this.refreshTimer.set(dueAt);
   }
 
   /** Reads the types now, and schedules the next read. */
