--- a/test/support/fake_services.ts
+++ b/test/support/fake_services.ts
@@ -33,10 +33,15 @@
 
 const NOT_FOUND = 404;
 const CONFLICT = 409;
+/** The paths of the cloud. All others are those of the state store. */
+const CLOUD_PATH = /^\/(catalog|hosts)/;
+const CLOUD_OUTAGE: ServiceResponse = { status: 503, body: { error: 'trouble' } };
 const NO_CAPACITY: ServiceResponse = { status: 503, body: { error: 'no capacity' } };
 
 /** A state store and a cloud with a single machine type, on one address. The cloud refuses to provision machines. */
 export class FakeServices {
+  /** Whether the cloud refuses every call. */
+  isCloudDown = false;
   private readonly entries = new Map<string, StoreEntry>();
   private readonly leases = new Map<number, Lease>();
   private readonly machines = new Map<string, FakeMachine>();
@@ -114,6 +119,7 @@
 
   private async respond(method: string, url: URL, body: Fields): Promise<ServiceResponse> {
     const { pathname, searchParams } = url;
+    if (this.isCloudDown && CLOUD_PATH.test(pathname)) return CLOUD_OUTAGE;
     if (pathname === '/catalog') return ok({ breeds: [this.machineType()] });
     if (pathname === '/hosts/delete') return this.terminateMachines(body);
     if (pathname === '/hosts' && method === 'POST') return NO_CAPACITY;
--- a/test/support/fake_worker.ts
+++ b/test/support/fake_worker.ts
@@ -56,9 +56,10 @@
     this.completionsByTask.set(task, (this.completionsByTask.get(task) ?? 0) + 1);
   }
 
-  /** Returns the number of tasks that run on all machines together. */
-  runningTasks(): number {
-    return this.machineByTask.size;
+  /** Returns the number of tasks that run on all machines together, of one job or of all. */
+  runningTasks(job?: string): number {
+    const tasks = [...this.machineByTask.keys()];
+    return job === undefined ? tasks.length : tasks.filter((task) => task.startsWith(`${job}/`)).length;
   }
 }
 
