--- a/src/core/workers/heartbeat_handler.ts
+++ b/src/core/workers/heartbeat_handler.ts
@@ -10,8 +10,8 @@
 import { type BackloggedHeartbeat, BackloggedHeartbeats, type QueueDecision } from './backlogged_heartbeats.js';
 import { DeferredResponses, type PendingResponse } from './deferred_responses.js';
 import { type HeartbeatResponder, UNAVAILABLE } from './heartbeat_response.js';
-import { HeartbeatResponses, type ResponseLeader } from './heartbeat_responses.js';
 import type { Reconciler } from './reconciler.js';
+import { HeartbeatResponseBuilder, type ResponseLeader } from './response_builder.js';
 
 /** Maximum deferral of a heartbeat response for records, a planning round or the backlog, in milliseconds. */
 const MAX_DEFERRAL_MS = 600;
@@ -51,7 +51,7 @@
   /** Times of the last lease renewals before the stored machines had been read. */
   readonly renewalsWhileLoading = new LeaseRenewals();
   private readonly context: StepContext;
-  private readonly responses: HeartbeatResponses;
+  private readonly responseBuilder: HeartbeatResponseBuilder;
   private readonly deferredResponses: DeferredResponses;
   private readonly backlog: BackloggedHeartbeats;
   private duplicates = 0;
@@ -63,14 +63,14 @@
     private readonly leader: HeartbeatLeader,
   ) {
     this.context = cluster.context;
-    this.responses = new HeartbeatResponses(cluster, fencingToken, leader);
+    this.responseBuilder = new HeartbeatResponseBuilder(cluster, fencingToken, leader);
     this.deferredResponses = new DeferredResponses(this.context, cluster.timers, {
       awaitsWrites: (machine) => leader.hasWritesInFlight() && awaitsDurableRecords(cluster, machine),
       send: (response) => this.sendResponse(response),
     });
     this.backlog = new BackloggedHeartbeats(this.context, cluster.timers, {
       process: (backlogged) => this.processBacklogged(backlogged),
-      leaseRenewal: (heartbeat) => this.responses.leaseRenewal(heartbeat),
+      leaseRenewal: (heartbeat) => this.responseBuilder.leaseRenewal(heartbeat),
     });
   }
 
@@ -88,7 +88,7 @@
         respond(UNAVAILABLE);
         return;
       case 'renewedOnly':
-        respond(this.responses.leaseRenewal(heartbeat));
+        respond(this.responseBuilder.leaseRenewal(heartbeat));
         return;
       case 'admitted':
         this.recordAndReconcile(admission.machine, heartbeat, respond);
@@ -103,7 +103,7 @@
   // ---- admission
 
   private admit(heartbeat: Heartbeat): Admission {
-    if (!this.responses.mayRenewLeases() || heartbeat.fencingToken > this.fencingToken) return REFUSED;
+    if (!this.responseBuilder.mayRenewLeases() || heartbeat.fencingToken > this.fencingToken) return REFUSED;
     if (!this.leader.isLoaded()) {
       this.renewalsWhileLoading.record(heartbeat.machine, this.context.now.monotonic);
       return RENEWED_ONLY;
@@ -220,7 +220,7 @@
   }
 
   private processBacklogged(backlogged: BackloggedHeartbeat): void {
-    if (this.responses.mayRenewLeases() && this.cluster.machines.isCurrent(backlogged.machine))
+    if (this.responseBuilder.mayRenewLeases() && this.cluster.machines.isCurrent(backlogged.machine))
       this.reconcileAndRespond(backlogged);
     else backlogged.respond?.(UNAVAILABLE);
   }
@@ -234,7 +234,7 @@
     const response: PendingResponse = { respond, machine, heartbeat };
     switch (outcome.kind) {
       case 'ignored':
-        respond(this.responses.leaseRenewal(heartbeat));
+        respond(this.responseBuilder.leaseRenewal(heartbeat));
         return;
       case 'applied':
         if (outcome.planning === 'due' || isFirst) this.respondAfterPlanning(response);
@@ -274,7 +274,7 @@
   }
 
   private sendResponse({ respond, machine, heartbeat }: PendingResponse): void {
-    respond(this.responses.withCommands(machine, heartbeat));
+    respond(this.responseBuilder.withCommands(machine, heartbeat));
   }
 }
 
--- a/src/core/workers/heartbeat_responses.ts
+++ b/src/core/workers/response_builder.ts
@@ -23,7 +23,7 @@
 }
 
 /** Builds each response when it is sent. A response is `UNAVAILABLE` if it may not renew the worker's lease. */
-export class HeartbeatResponses {
+export class HeartbeatResponseBuilder {
   constructor(
     private readonly cluster: Cluster,
     private readonly fencingToken: FencingToken,
@@ -49,13 +49,11 @@
     // dropped.
     const isNewest = machine.messages.latestSequence === heartbeat.sequence;
     const mayStartTasks = this.leader.mayStartTasks() && isNewest;
-    return this.renewalWith(
-      responseCommands(this.cluster, machine, mayStartTasks ? heartbeat.sequence : null),
-      heartbeat,
-    );
+    const commands = responseCommands(this.cluster, machine, mayStartTasks ? heartbeat.sequence : null);
+    return this.renewalWith(commands, heartbeat);
   }
 
-  private renewalWith(commands: Command[], heartbeat: Heartbeat): HeartbeatResponse {
+  private renewalWith(commands: readonly Command[], heartbeat: Heartbeat): HeartbeatResponse {
     const stops = this.stopsOfCancelledTasks(heartbeat, commands);
     return { status: 200, fencingToken: this.fencingToken, commands: [...commands, ...stops] };
   }
--- a/test/property.test.ts
+++ b/test/property.test.ts
@@ -1,14 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
-import type { ImageName, JobId, MachineId, TeamName, TeamQuota, ZoneName } from '../src/core/types.js';
+import type { ImageName, JobId, TeamName, TeamQuota, ZoneName } from '../src/core/types.js';
 import { type Build, CURRENT_BUILD } from './sim/build.js';
 import { LIMITS } from './sim/deployment.js';
 import { type JobOptions, makeJobSpec } from './sim/job_options.js';
 import { C8, G4 } from './sim/machine_types.js';
 import { loadOldVersions } from './sim/old_versions.js';
+import { injectRandomFaults } from './sim/random_faults.js';
 import { upgradeControllers } from './sim/scenario/events/controllers.js';
-import { events } from './sim/scenario/events/index.js';
 import { lateLargestJobs, servedShares } from './sim/served_jobs.js';
 import { World } from './sim/world.js';
 
@@ -72,7 +72,7 @@
     addService(world, i, clock.randomBetween(isRollingUpgrade ? 170 : 5, FAULTS_SECONDS * 0.8));
   for (let i = 0; i < 2; i++) addFaultyJob(world, i, clock.randomBetween(1, FAULTS_SECONDS * 0.6));
   if (seed % 10 === 0) addHugeArray(world, clock.randomBetween(5, FAULTS_SECONDS * 0.5));
-  injectRandomFaults(world);
+  injectRandomFaults(world, FAULTS_SECONDS);
   clock.runUntil((FAULTS_SECONDS + QUIET_SECONDS) * 1000);
   world.trace?.end(`day-${seed}`);
   return world;
@@ -198,105 +198,6 @@
  */
 const availabilityAtEnd = new WeakMap<World, string[]>();
 
-function injectRandomFaults(world: World): void {
-  const { clock } = world;
-  const faults = Math.floor(clock.randomBetween(5, 12));
-  for (let i = 0; i < faults; i++) {
-    const at = clock.randomBetween(5, FAULTS_SECONDS);
-    injectRandomFault(world, at);
-    // Some faults begin while another one lasts.
-    if (clock.randomBetween(0, 1) < 0.4) injectRandomFault(world, at + clock.randomBetween(0, 8));
-  }
-}
-
-function injectRandomFault(world: World, atS: number): void {
-  const { clock } = world;
-  const controller = clock.pickRandom(['perch-0', 'perch-1', 'perch-2', 'perch-4', 'leader', 'leader']);
-  const secs = (low: number, high: number): string => String(clock.randomBetween(low, high));
-  const mode = clock.pickRandom(['drop', 'delay']);
-  const machine = (): string => clock.pickRandom([...world.workers.keys(), 'none' as MachineId]);
-  const choices: [string, () => string[]][] = [
-    ['crash', () => [controller, secs(0.1, 6)]],
-    ['crash', () => ['all', secs(0.1, 6)]],
-    ['store-outage', () => [secs(1, 25)]],
-    ['store-refuse', () => [controller, secs(3, 30)]],
-    [
-      'partition',
-      () => [
-        controller,
-        clock.pickRandom(['state-store', 'workers', 'cloud', '*', 'users', 'perch-0']),
-        secs(2, 30),
-        mode,
-      ],
-    ],
-    ['partition', () => [controller, 'control-plane', secs(2, 30), clock.pickRandom(['drop', 'delay', 'refuse'])]],
-    ['machine-inbound-loss', () => [machine(), secs(5, 40)]],
-    ['controller-outbound-loss', () => [controller, secs(5, 30)]],
-    ['duplicate-heartbeats', () => [secs(5, 60)]],
-    ['crash', () => [controller, secs(0.02, 0.4)]],
-    ['crash', () => ['followers', secs(0.02, 0.4)]],
-    [
-      'crash-at',
-      () => [
-        clock.pickRandom(['before-grant', 'after-grant', 'before-acquire', 'after-acquire']),
-        '2',
-        secs(0.02, 0.4),
-      ],
-    ],
-    ['pause', () => [controller, secs(1, 30)]],
-    ['pause', () => ['all', secs(1, 20)]],
-    ['partition', () => [machine(), '*', secs(2, 30), mode]],
-    ['hang', () => [machine(), secs(2, 30)]],
-    ['fail-tasks', () => [machine()]],
-    ['slow-machine', () => [machine(), '4']],
-    ['interruption-notice', () => [machine(), secs(4, 12)]],
-    ['interrupt', () => [machine()]],
-    ['fail-machine', () => [machine()]],
-    ['cloud-outage', () => [secs(3, 20)]],
-    ['pause', () => [controller, secs(30, 80)]],
-    ['pause', () => [controller, clock.pickRandom(['3.6', '4.4', '13.6', '14.6'])]],
-    [
-      'pause-before-sending',
-      () => [controller, secs(2, 40), clock.pickRandom(['terminate', 'provision', 'commands', 'responses'])],
-    ],
-    [
-      'partition',
-      () => [controller, clock.pickRandom(['state-store', 'workers', 'control-plane', '*']), secs(60, 95), mode],
-    ],
-    ['store-refuse', () => [controller, secs(60, 95)]],
-    ['boot-fault', () => [clock.pickRandom(['0.04', '4']), clock.pickRandom(['0', '0.5', '1']), secs(20, 80)]],
-    ['boot-fault', () => ['1', '1', secs(20, 80), clock.pickRandom(zones)]],
-    ['never-boot', () => ['1']],
-    ['lose-heartbeats', () => [machine(), secs(5, 40)]],
-    ['lose-heartbeats', () => ['all', secs(5, 40)]],
-    ['delay-heartbeats', () => [clock.pickRandom([machine(), 'all']), secs(2, 25)]],
-    [
-      'add-latency',
-      () => [
-        clock.pickRandom([machine(), controller, 'all']),
-        String(clock.pickRandom([300, 2000, 6000])),
-        secs(5, 40),
-      ],
-    ],
-    ['slow-store', () => [String(clock.pickRandom([20, 100, 400])), secs(5, 40)]],
-    ['delay-writes', () => [String(clock.pickRandom([0.1, 0.5, 0.9])), secs(5, 30)]],
-    ['flap', () => ['10', secs(2, 12), secs(0.1, 4)]],
-    ['cancel-running', () => ['4', clock.pickRandom(['', secs(5, 30)])]],
-    ['cancel-on-completion', () => ['0.5', secs(20, 60)]],
-    ['invalid-requests', () => [secs(10, 60)]],
-    ['poll-bursts', () => [secs(20, 80)]],
-    ['refusal-then-outage', () => [secs(0.5, 3), secs(20, 60)]],
-    ['restart-without-catalog', () => [secs(45, 120), secs(4, 30)]],
-    ['refuse-job-reads', () => [clock.pickRandom([controller, 'followers', 'all']), secs(5, 90)]],
-  ];
-  // Leaders of the old versions drop machines of an unlisted type from the registry.
-  if (!world.options.oldVersions) choices.push(['unlist-type', () => [clock.pickRandom(['c8', 'g4']), secs(20, 100)]]);
-  const [name, words] = clock.pickRandom(choices);
-  const event = events[name];
-  assert.ok(event, `no event ${name}`);
-  clock.schedule(atS * 1000, () => event(world, words()));
-}
-
 const oldVersions = await loadOldVersions();
 const seedCount = process.env.SEEDS ? Number(process.env.SEEDS) : 120;
 const firstSeed = process.env.SEED_FROM ? Number(process.env.SEED_FROM) : 1;
