What untracked machines may hold is computed once more after recovery has finished

Cause: while machines can't be tracked, their tasks count as infinite against every limited team. The figure was not computed again when recovery had finished without unreconciled machines before and after. If a lease that is found ended after an outage of the state store finishes recovery, that was the last computation.

Change: the figure is final only once it has been computed since recovery finished.

--- a/src/core/state/previous_terms.ts
+++ b/src/core/state/previous_terms.ts
@@ -54,6 +54,8 @@
   /** Jobs first started in previous terms that may have tasks which this leader has not found yet. */
   private readonly jobs = new Set<Job>();
   private unreconciledMachineCount = 0;
+  /** Whether the exposure of the teams has been updated since recovery finished. It does not change any more then. */
+  private isExposureFinal = false;
   private recordsToLookUp: JobId[] = [];
   private restartCount = 0;
 
@@ -147,9 +149,9 @@
   }
 
   private updateExposure(recovery: Recovery): void {
-    const before = this.unreconciledMachineCount;
     this.unreconciledMachineCount = recovery.unreconciledMachines;
-    if (before === 0 && this.unreconciledMachineCount === 0 && recovery.isFinished) return;
+    if (this.isExposureFinal) return;
+    this.isExposureFinal = recovery.isFinished;
     const { quotas } = this.init;
     const { monotonic } = this.context.now;
     quotas.unreconciledCapacity = recovery.unreconciledCapacity(monotonic) ?? UNKNOWN_CAPACITY;
