Idle machines without GPUs are not kept for a GPU guarantee that is not met

What callers would see: jobs with GPUs of a team with a guarantee never begin, while idle machines without GPUs fill what the cloud has; without trouble of any kind.

Cause: an idle machine is kept if without it more than allowed of the guaranteed cores or GPUs would be missing. For a machine without GPUs that holds whenever GPUs are missing at all.

Change: the GPUs are asked for only of machines that have some.

--- a/src/core/autoscaling/scale_in.ts
+++ b/src/core/autoscaling/scale_in.ts
@@ -136,7 +136,7 @@
     if (!machine.isEmpty || holdsUnstoredResults(machine) || !this.isIdle(machine)) return null;
     const { cpus, gpus } = machine.type;
     const isNeededForGuarantees =
-      deficit.gpus >= CAPACITY_TOLERANCE - gpus || deficit.cpus >= CAPACITY_TOLERANCE - cpus;
+      (gpus > 0 && deficit.gpus >= CAPACITY_TOLERANCE - gpus) || deficit.cpus >= CAPACITY_TOLERANCE - cpus;
     if (isNeededForGuarantees) return null;
     deficit.gpus += gpus;
     deficit.cpus += cpus;
