Comments of restart-without-catalog say when its second cancellations come

Cause: they were said to come AFTER seconds after the crash; the time counts from the first cancellations, 0.23 s earlier.

Change: two comments. No behaviour.

--- a/test/sim/scenario/events/controllers.ts
+++ b/test/sim/scenario/events/controllers.ts
@@ -37,7 +37,7 @@
 const RESTART_WITHOUT_CATALOG_SECONDS = '3';
 /** Time from its first cancellations to the crash. The users may have their confirmations, the workers no stops. */
 const CRASH_AFTER_CANCELLATION_MS = 230;
-/** Number of jobs that `restart-without-catalog` cancels before the crash, and again after the restart. */
+/** Number of jobs that `restart-without-catalog` cancels before the crash, and the same number again later. */
 const CANCELLED_WITHOUT_CATALOG = 2;
 
 /** Outputs that only a leader may make, by their names in `pause-before-sending`. */
@@ -112,8 +112,8 @@
   },
   /**
    * restart-without-catalog S [AFTER]: the cloud refuses every call for S seconds, and all controllers crash and restart
-   * meanwhile, so that they know no machine types. Running jobs are cancelled just before the crash and AFTER (default
-   * 6) seconds after it
+   * meanwhile, so that they know no machine types. Running jobs are cancelled just before the crash, and again AFTER
+   * (default 6) seconds after these first cancellations
    */
   'restart-without-catalog'(world, [seconds, after]) {
     takeCloudDown(world, seconds);
