A pushed start of a cancelled replica loses its validity by a higher token for its machine

Cause: a worker executes a pushed start for as long as token and agent epoch match. The leader renewed the lease, which keeps the epoch, and kept its token for the whole term. What it did about an unanswered start waited for the answer, or for the machine to hold nothing else; neither need happen.

Change: before each response that renews a lease, StartInvalidation asks for pushed starts that are valid and no longer wanted (cancelled, to be stopped, exited). If there are any, this response and all later ones to the machine carry the next token. The worker accepts one and refuses the start, or accepts none and its epoch ends. Tokens up to the newest revision seen belong to the leader while its validity lasts; without a newer one the machine's record is written again, and only renewals that keep a cancelled start valid are withheld until then. A status with a higher token than the push proves that the start has not arrived, so moved replicas are no longer booked on their old machine. Machines with nothing but such a start are no longer returned.

--- a/src/core/autoscaling/scale_in.ts
+++ b/src/core/autoscaling/scale_in.ts
@@ -1,5 +1,5 @@
 /** Terminates machines that are idle, drained and empty, lost, unresponsive, or whose boot timed out. */
-import { startKey, startKeyOf } from '../jobs/task_keys.js';
+import { startKey } from '../jobs/task_keys.js';
 import { HEARTBEAT_OVERDUE_AFTER_INTERVALS } from '../machines/agent_messages.js';
 import type { DrainReason } from '../machines/cordon.js';
 import type { Machine } from '../machines/machine.js';
@@ -109,12 +109,6 @@
     if (machine.phase === 'booting') return this.hasBootTimedOut(machine, overview.now) ? 'boot timeout' : null;
     const overdueReason = overview.mayActOnOverdueHeartbeats ? overdueHeartbeatReason(machine, overview) : null;
     if (overdueReason !== null) return overdueReason;
-    if (
-      holdsOnlyUnconfirmedStarts(this.cluster, machine) &&
-      overview.now - machine.messages.lastContactAt < overview.leaseMs
-    ) {
-      return 'unconfirmed start';
-    }
     return overview.mayActOnOverdueHeartbeats && isLongUnresponsive(machine, overview) ? 'unresponsive' : null;
   }
 
@@ -236,17 +230,3 @@
   machine.reportedTasks.exited.some(
     ({ job, index, attempt }) => !machine.commandChannel.isUnconfirmed(startKey(job, index, attempt)),
   );
-
-/**
- * Returns whether the machine holds only replicas that are no longer needed and whose pushed starts have received no
- * response.
- */
-function holdsOnlyUnconfirmedStarts(cluster: Cluster, machine: Machine): boolean {
-  const { commandChannel } = machine;
-  if (!commandChannel.hasUnconfirmedStarts || commandChannel.isBusy) return false;
-  for (const placement of cluster.placements.onMachine(machine).values()) {
-    const unwanted = placement.phase === 'sent' && placement.pendingStop !== null;
-    if (!unwanted || !commandChannel.isUnconfirmed(startKeyOf(placement))) return false;
-  }
-  return machine.allocations.taskCount > 0;
-}
--- a/src/core/clients/state_store_client.ts
+++ b/src/core/clients/state_store_client.ts
@@ -15,7 +15,7 @@
 import type { Settings } from '../settings.js';
 import type { StepClock } from '../step_clock.js';
 import type { Timer, TimerFactory } from '../timers.js';
-import type { MonotonicTime } from '../types.js';
+import { ABSENT_VERSION, type MonotonicTime, type Revision } from '../types.js';
 import { type CallPriority, CallQueue, type QueuedCall } from './call_queue.js';
 import { OpenCalls } from './open_calls.js';
 import { TokenBucket } from './token_bucket.js';
@@ -64,6 +64,7 @@
 /** Sends calls to the state store in order of priority, and passes their results to the callers. */
 export class StateStoreClient {
   private failureStartedAt: MonotonicTime | null = null;
+  private highestRevision = ABSENT_VERSION;
   private isLeader = false;
   /** Whether this process has observed that the announced lower rates have come into force. */
   private usesAnnouncedRates = false;
@@ -96,6 +97,11 @@
     return this.failureStartedAt;
   }
 
+  /** The newest revision of the state store that any reply has shown. */
+  get newestRevision(): Revision {
+    return this.highestRevision;
+  }
+
   /** Returns whether enough write tokens are left to also send writes that can be deferred. */
   hasSpareWriteCapacity(): boolean {
     return this.writeTokens.fillRatio(this.clock.now.monotonic) > MIN_SPARE_WRITES_RATIO;
@@ -166,6 +172,7 @@
     if (!sent) return;
     if (!result.ok && result.error.code === 'throttled') this.onThrottled(sent.isWrite);
     this.trackHealth(result);
+    this.trackRevision(result);
     sent.onResult(result as StateStoreResultOf<never>);
   }
 
@@ -178,6 +185,12 @@
     if (wasNotExecuted(result.error)) this.queue.pause(this.clock.after(REFUSED_PAUSE_MS));
   }
 
+  private trackRevision(result: StateStoreResult): void {
+    if (!result.ok || !('revision' in result.value)) return;
+    const { revision } = result.value;
+    if (revision !== undefined && revision > this.highestRevision) this.highestRevision = revision;
+  }
+
   /**
    * Handles a reply that the rate limit was exceeded. If lower rates are announced, this reply is the only sign that
    * they have come into force. Switching to them too early only lowers the throughput. Size limits need no switch, as
--- a/src/core/leadership/leader.ts
+++ b/src/core/leadership/leader.ts
@@ -13,6 +13,7 @@
 import type { Heartbeat, JobId, MachineId, MonotonicTime } from '../types.js';
 import { CommandDelivery } from '../workers/command_delivery.js';
 import { type CommandLeader, CommandPusher } from '../workers/command_pusher.js';
+import { FencingTokens } from '../workers/fencing_tokens.js';
 import { HeartbeatHandler, type HeartbeatLeader } from '../workers/heartbeat_handler.js';
 import type { HeartbeatResponder } from '../workers/heartbeat_response.js';
 import { Reconciler, type ReconciliationLeader } from '../workers/reconciler.js';
@@ -82,7 +83,7 @@
     private readonly jobCache: JobCache,
     { leadership, types, seed, isAnyPeerAbleToLead }: LeaderInit,
   ) {
-    const { fencingToken } = leadership;
+    const tokens = new FencingTokens(leadership.fencingToken, () => context.stateStore.newestRevision);
     this.electedAt = context.now.monotonic;
     this.cluster = new Cluster(context, leadership.term, leadership.startZonesRecordedSince);
     this.cluster.machineTypes = types;
@@ -90,9 +91,9 @@
     this.statusRequestTimer = this.cluster.timers.create(() => this.requestAllStatuses());
     this.registry = new MachineRegistry(context.settings.stateStore.maxValueBytes);
     this.recordWriter = this.makeRecordWriter(leadership);
-    const reconciler = new Reconciler(this.cluster, fencingToken, this);
-    this.heartbeatHandler = new HeartbeatHandler(this.cluster, fencingToken, reconciler, this);
-    this.commandDelivery = new CommandDelivery(this.cluster, fencingToken, reconciler);
+    const reconciler = new Reconciler(this.cluster, tokens, this);
+    this.heartbeatHandler = new HeartbeatHandler(this.cluster, tokens, reconciler, this);
+    this.commandDelivery = new CommandDelivery(this.cluster, tokens, reconciler);
     this.statusRequests = new StatusRequests(this.cluster, this.commandDelivery);
     this.commandPusher = new CommandPusher(this.cluster, this.commandDelivery, this);
     this.healthChecks = new HealthChecks(this.cluster, () => this.schedulePlanningRoundSoon());
@@ -198,6 +199,11 @@
     this.recordWriter.registerMachine(machine);
   }
 
+  /** Writes the machine's record again, which raises the revision of the state store. */
+  rewriteMachineRecord(machine: Machine): void {
+    this.recordWriter.rewriteMachineRecord(machine);
+  }
+
   /** Brings the next planning round forward. */
   schedulePlanningRoundSoon(): void {
     this.planningRounds.scheduleSoon();
--- a/src/core/leadership/record_writer.ts
+++ b/src/core/leadership/record_writer.ts
@@ -95,6 +95,12 @@
     this.scheduleFlush();
   }
 
+  /** Writes the page with the machine's record again, which raises the revision of the state store. */
+  rewriteMachineRecord(machine: Machine): void {
+    this.registry.rewrite(machine.id);
+    this.scheduleFlush();
+  }
+
   private scheduleFlush(): void {
     this.cluster.timers.recordFlush.bringForward(this.context.after(BATCHING_MS));
   }
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -97,6 +97,8 @@
   'interruption notice received': event<MachineFields & { readonly interruptionNoticeSeconds: number }>('info'),
   'machine unresponsive': event<MachineFields>('info'),
   'machine reachable again': event<MachineFields>('info'),
+  'pushed starts invalidated': event<MachineFields & LeadershipFields & { readonly starts: number }>('debug'),
+  'lease renewal withheld': event<MachineFields & { readonly starts: number }>('info'),
   'duplicate heartbeat ignored': event<
     MachineFields & { readonly sequence: SequenceNumber; readonly duplicates: number }
   >('debug'),
--- a/src/core/machines/command_channel.ts
+++ b/src/core/machines/command_channel.ts
@@ -1,13 +1,25 @@
-/** Tracks the pushes of commands to one machine: whether one is in flight, and which starts are unconfirmed. */
+/**
+ * Tracks the pushes of commands to one machine: whether one is in flight, which starts may still arrive, and how often
+ * the machine's fencing token was raised to keep starts from arriving.
+ */
 
-import type { StartKey } from '../jobs/task_keys.js';
-import type { MonotonicTime } from '../types.js';
+import { type StartKey, startKey } from '../jobs/task_keys.js';
+import type { Attempt, FencingToken, JobId, MonotonicTime } from '../types.js';
+
+/** A start that was pushed with a fencing token. The worker refuses it once it has seen a higher token. */
+export interface PushedStart {
+  readonly job: JobId;
+  readonly index: number;
+  readonly attempt: Attempt;
+  readonly fencingToken: FencingToken;
+}
 
 /** State of pushes to a machine. One push is in flight at a time, and pushes pause after one without a response. */
 export class CommandChannel {
   private inFlight = false;
   private pausedUntil = 0 as MonotonicTime;
-  private readonly unconfirmed = new Set<StartKey>();
+  private readonly unconfirmed = new Map<StartKey, PushedStart>();
+  private raises = 0n;
 
   /** Whether a push is awaiting its response. */
   get isBusy(): boolean {
@@ -19,10 +31,13 @@
     return !this.inFlight && this.pausedUntil <= now;
   }
 
-  /** Records a push with these starts. Until a response confirms them, they may arrive while the agent epoch lasts. */
-  begin(starts: Iterable<StartKey> = []): void {
+  /**
+   * Records a push with these starts. Until a response confirms them, they may arrive while the agent epoch lasts and
+   * the worker has seen no higher fencing token.
+   */
+  begin(starts: Iterable<PushedStart> = []): void {
     this.inFlight = true;
-    for (const start of starts) this.unconfirmed.add(start);
+    for (const start of starts) this.unconfirmed.set(keyOf(start), start);
   }
 
   /** Ends the push in flight, after its response or once no response can arrive any more. */
@@ -31,8 +46,16 @@
   }
 
   /** Records a response to the push with these starts. They have arrived, or never will. */
-  confirmStarts(starts: Iterable<StartKey>): void {
-    for (const start of starts) this.unconfirmed.delete(start);
+  confirmStarts(starts: Iterable<PushedStart>): void {
+    for (const start of starts) this.unconfirmed.delete(keyOf(start));
+  }
+
+  /**
+   * Records a status with this fencing token. The worker refuses starts with lower tokens, so those that the status
+   * does not show never arrive.
+   */
+  confirmStartsBelow(token: FencingToken): void {
+    for (const [key, { fencingToken }] of this.unconfirmed) if (fencingToken < token) this.unconfirmed.delete(key);
   }
 
   /** Pauses pushes until the given time, after one without a response. */
@@ -40,18 +63,30 @@
     this.pausedUntil = until;
   }
 
-  /** Returns whether the start was pushed and no response has confirmed it, so that it may still arrive. */
+  /** Returns whether the start was pushed and nothing has confirmed it, so that it may still arrive. */
   isUnconfirmed(start: StartKey): boolean {
     return this.unconfirmed.has(start);
   }
 
-  /** Whether any pushed start has not been confirmed by a response. */
-  get hasUnconfirmedStarts(): boolean {
-    return this.unconfirmed.size > 0;
+  /** The pushed starts that may still arrive. */
+  get unconfirmedStarts(): Iterable<PushedStart> {
+    return this.unconfirmed.values();
   }
 
   /** Forgets all unconfirmed starts, because none can arrive after their agent epoch has ended. */
   clearUnconfirmedStarts(): void {
     this.unconfirmed.clear();
   }
+
+  /** How often the machine's fencing token was raised in this term. */
+  get tokenRaises(): bigint {
+    return this.raises;
+  }
+
+  /** Records that the machine's fencing token is raised by one, from the next message to the machine on. */
+  recordTokenRaise(): void {
+    this.raises += 1n;
+  }
 }
+
+const keyOf = ({ job, index, attempt }: PushedStart): StartKey => startKey(job, index, attempt);
--- a/src/core/machines/cordon.ts
+++ b/src/core/machines/cordon.ts
@@ -11,9 +11,7 @@
   | 'boot timeout'
   | 'task failures'
   | 'spot interruption'
-  | 'unresponsive'
-  /** A start that was pushed without a response may still arrive at the worker. */
-  | 'unconfirmed start';
+  | 'unresponsive';
 
 /** Whether a machine is cordoned. A drain is permanent, whereas a quarantine ends after a time. */
 export class Cordon {
--- a/src/core/machines/machine_registry.ts
+++ b/src/core/machines/machine_registry.ts
@@ -159,6 +159,11 @@
     }
   }
 
+  /** Marks the page that lists the machine for an urgent rewrite. */
+  rewrite(id: MachineId): void {
+    this.pageOf.get(id)?.markUrgent();
+  }
+
   /** Marks the pages on which the cached images of machines have changed. */
   collectImageChanges(): void {
     for (const page of this.pages.values()) page.collectImageChanges();
--- a/src/core/workers/command_delivery.ts
+++ b/src/core/workers/command_delivery.ts
@@ -1,10 +1,11 @@
 /** Pushes commands to workers, and passes the statuses in their responses on for reconciliation. */
-import type { StartKey } from '../jobs/task_keys.js';
+import type { PushedStart } from '../machines/command_channel.js';
 import type { Machine } from '../machines/machine.js';
 import type { CommandPushResult } from '../messages.js';
 import type { Cluster } from '../state/cluster.js';
 import type { StepContext } from '../step_context.js';
 import type { AgentEpoch, Command, FencingToken } from '../types.js';
+import type { FencingTokens } from './fencing_tokens.js';
 import type { Reconciler } from './reconciler.js';
 
 /**
@@ -19,8 +20,13 @@
   readonly agentEpoch: AgentEpoch;
   /** An empty list still raises the worker's fencing token, and the response still contains a status of the machine. */
   readonly commands: readonly Command[];
+}
+
+/** A delivery that was sent. */
+interface SentDelivery {
+  readonly machine: Machine;
   /** The starts among the commands. Until a response arrives, they may still reach the worker. */
-  readonly starts: readonly StartKey[];
+  readonly starts: readonly PushedStart[];
 }
 
 type DeliveryOutcome =
@@ -39,7 +45,7 @@
 
   constructor(
     private readonly cluster: Cluster,
-    private readonly fencingToken: FencingToken,
+    private readonly tokens: FencingTokens,
     private readonly reconciler: Reconciler,
   ) {
     this.context = cluster.context;
@@ -57,15 +63,16 @@
 
   /** Pushes the commands at once. Calls `onOutcome` after the status in the response, if any, was reconciled. */
   deliver(delivery: Delivery, onOutcome: (outcome: DeliveryOutcome) => void): void {
-    const { machine, agentEpoch, commands, starts } = delivery;
+    const { machine, agentEpoch, commands } = delivery;
+    const fencingToken = this.tokens.current(machine);
+    const starts = startsIn(commands, fencingToken);
     machine.commandChannel.begin(starts);
-    this.context.commandPushes.push(
-      { address: machine.address, fencingToken: this.fencingToken, agentEpoch, commands },
-      (result) => onOutcome(this.processResult(delivery, result)),
+    this.context.commandPushes.push({ address: machine.address, fencingToken, agentEpoch, commands }, (result) =>
+      onOutcome(this.processResult({ machine, starts }, result)),
     );
   }
 
-  private processResult({ machine, starts }: Delivery, result: CommandPushResult): DeliveryOutcome {
+  private processResult({ machine, starts }: SentDelivery, result: CommandPushResult): DeliveryOutcome {
     machine.commandChannel.end();
     if (!result.ok) return { kind: 'unanswered' };
     machine.commandChannel.confirmStarts(starts);
@@ -78,3 +85,9 @@
     return { kind: 'executed' };
   }
 }
+
+function startsIn(commands: readonly Command[], fencingToken: FencingToken): PushedStart[] {
+  return commands
+    .filter(({ op }) => op === 'start')
+    .map(({ job, index, attempt }) => ({ job, index, attempt, fencingToken }));
+}
--- a/src/core/workers/command_pusher.ts
+++ b/src/core/workers/command_pusher.ts
@@ -1,10 +1,10 @@
 /**
  * Pushes stops and the starts of replicas to workers without waiting for heartbeats. All other starts are sent only in
  * heartbeat responses. A pushed command can arrive late. A task whose start was pushed therefore counts as possibly on
- * the machine until a response arrives, the agent epoch ends or the machine is removed.
+ * the machine until a response arrives, a status shows a higher fencing token, the agent epoch ends or the machine is
+ * removed.
  */
 
-import { startKeyOf } from '../jobs/task_keys.js';
 import type { Machine } from '../machines/machine.js';
 import type { Cluster } from '../state/cluster.js';
 import type { Placement } from '../state/placement.js';
@@ -95,7 +95,7 @@
     const starting = mayStartAny ? replicas.filter(({ job }) => mayStart(job, machine)) : [];
     const commands = [...stops, ...starting.map((placement) => recordStartSent(this.cluster, placement, null))];
     if (commands.length === 0) return;
-    this.delivery.deliver({ machine, agentEpoch, commands, starts: starting.map(startKeyOf) }, ({ kind }) => {
+    this.delivery.deliver({ machine, agentEpoch, commands }, ({ kind }) => {
       if (kind === 'unanswered') machine.commandChannel.pause(this.context.after(UNANSWERED_BACKOFF_MS));
     });
   }
--- a/src/core/workers/heartbeat_handler.ts
+++ b/src/core/workers/heartbeat_handler.ts
@@ -6,9 +6,10 @@
 import { Machine } from '../machines/machine.js';
 import type { Cluster } from '../state/cluster.js';
 import type { StepContext } from '../step_context.js';
-import type { FencingToken, Heartbeat } from '../types.js';
+import type { Heartbeat } from '../types.js';
 import { type BackloggedHeartbeat, BackloggedHeartbeats, type QueueDecision } from './backlogged_heartbeats.js';
 import { DeferredResponses, type PendingResponse } from './deferred_responses.js';
+import type { FencingTokens } from './fencing_tokens.js';
 import { type HeartbeatResponder, UNAVAILABLE } from './heartbeat_response.js';
 import type { Reconciler } from './reconciler.js';
 import { HeartbeatResponseBuilder, type ResponseLeader } from './response_builder.js';
@@ -58,12 +59,12 @@
 
   constructor(
     private readonly cluster: Cluster,
-    private readonly fencingToken: FencingToken,
+    private readonly tokens: FencingTokens,
     private readonly reconciler: Reconciler,
     private readonly leader: HeartbeatLeader,
   ) {
     this.context = cluster.context;
-    this.responseBuilder = new HeartbeatResponseBuilder(cluster, fencingToken, leader);
+    this.responseBuilder = new HeartbeatResponseBuilder(cluster, tokens, leader);
     this.deferredResponses = new DeferredResponses(this.context, cluster.timers, {
       awaitsWrites: (machine) => leader.hasWritesInFlight() && awaitsDurableRecords(cluster, machine),
       send: (response) => this.sendResponse(response),
@@ -103,7 +104,7 @@
   // ---- admission
 
   private admit(heartbeat: Heartbeat): Admission {
-    if (!this.responseBuilder.mayRenewLeases() || heartbeat.fencingToken > this.fencingToken) return REFUSED;
+    if (!this.responseBuilder.mayRenewLeases() || this.isOfNewerLeader(heartbeat)) return REFUSED;
     if (!this.leader.isLoaded()) {
       this.renewalsWhileLoading.record(heartbeat.machine, this.context.now.monotonic);
       return RENEWED_ONLY;
@@ -150,8 +151,13 @@
     this.context.log('duplicate heartbeat ignored', { machine: machine.id, sequence, duplicates: this.duplicates });
   }
 
-  private hasStaleToken(heartbeat: Heartbeat): boolean {
-    return heartbeat.fencingToken < this.fencingToken;
+  private hasStaleToken({ fencingToken }: Heartbeat): boolean {
+    return this.tokens.isOfPreviousTerm(fencingToken);
+  }
+
+  private isOfNewerLeader({ fencingToken, machine: id }: Heartbeat): boolean {
+    const machine = this.cluster.machines.get(id);
+    return fencingToken > (machine ? this.tokens.current(machine) : this.tokens.ofUntrackedMachines);
   }
 
   // ---- recording
@@ -208,12 +214,12 @@
   // ---- queueing
 
   /**
-   * Enqueues the heartbeat if too many have arrived at once. Heartbeats with another fencing token are never queued.
+   * Enqueues the heartbeat if too many have arrived at once. Heartbeats with a stale fencing token are never queued.
    * After recovery has finished, and while the recovery feature is off, no heartbeat is queued.
    */
   private admitOrEnqueue(pending: BackloggedHeartbeat): QueueDecision {
     const { recovery } = this.cluster.previousTerms;
-    if (!recovery || recovery.isFinished || pending.heartbeat.fencingToken !== this.fencingToken) return 'due';
+    if (!recovery || recovery.isFinished || this.hasStaleToken(pending.heartbeat)) return 'due';
     const decision = this.backlog.admitOrEnqueue(pending);
     recovery.recordBacklogLength(this.backlog.size);
     return decision;
@@ -266,7 +272,7 @@
    */
   private isIdle(machine: Machine, heartbeat: Heartbeat): boolean {
     const hasNoTasks = machine.isEmpty && machine.reportedTasks.exited.length === 0;
-    return hasNoTasks && heartbeat.fencingToken === this.fencingToken && !machine.cordon.isDraining;
+    return hasNoTasks && !this.hasStaleToken(heartbeat) && !machine.cordon.isDraining;
   }
 
   private idleDeferralMs(): number {
--- a/src/core/workers/reconciler.ts
+++ b/src/core/workers/reconciler.ts
@@ -2,7 +2,8 @@
 import type { Machine } from '../machines/machine.js';
 import type { Cluster } from '../state/cluster.js';
 import type { StepContext } from '../step_context.js';
-import type { FencingToken, Heartbeat } from '../types.js';
+import type { Heartbeat } from '../types.js';
+import type { FencingTokens } from './fencing_tokens.js';
 import { reconcileStatus, type StatusOutcome, type StatusSource } from './status_reconciliation.js';
 
 /** Operations of the leader that reconciliation triggers. */
@@ -19,7 +20,7 @@
 
   constructor(
     private readonly cluster: Cluster,
-    private readonly fencingToken: FencingToken,
+    private readonly tokens: FencingTokens,
     private readonly leader: ReconciliationLeader,
   ) {
     this.context = cluster.context;
@@ -27,9 +28,9 @@
 
   /** Applies a machine's status, and brings the next planning round forward if planning is due. */
   reconcile(machine: Machine, status: Heartbeat, source: StatusSource): StatusOutcome {
-    const isTokenNew = machine.messages.highestFencingToken < this.fencingToken;
-    if (isTokenNew && status.fencingToken === this.fencingToken) this.onReachable(machine);
-    const outcome = reconcileStatus(this.cluster, machine, status, this.fencingToken, source);
+    const isFirstOfTerm = this.tokens.isOfPreviousTerm(machine.messages.highestFencingToken);
+    if (isFirstOfTerm && this.tokens.isOfThisTerm(status.fencingToken, machine)) this.onReachable(machine);
+    const outcome = reconcileStatus(this.cluster, machine, status, this.tokens, source);
     if (source === 'commandResponse') machine.messages.recordCommandResponse(this.context.now.monotonic);
     if (outcome.kind === 'applied' && outcome.planning === 'due') this.leader.schedulePlanningRoundSoon();
     this.leader.lookUpSuspectedOrphans();
--- a/src/core/workers/response_builder.ts
+++ b/src/core/workers/response_builder.ts
@@ -1,34 +1,39 @@
 /**
  * Builds the responses to heartbeats. Every response that renews a worker's lease also stops those of the reported
- * tasks whose jobs are known to be cancelled, so a renewal never keeps them alive.
+ * tasks whose jobs are known to be cancelled, and ends the validity of their pushed starts, so a renewal never keeps them
+ * alive.
  */
 import { startKey } from '../jobs/task_keys.js';
 import type { Machine } from '../machines/machine.js';
 import type { HeartbeatResponse } from '../messages.js';
 import type { Cluster } from '../state/cluster.js';
-import type { Command, FencingToken, Heartbeat, JobId } from '../types.js';
+import type { Command, FencingToken, Heartbeat } from '../types.js';
 import { responseCommands } from './commands.js';
+import type { FencingTokens } from './fencing_tokens.js';
 import { UNAVAILABLE } from './heartbeat_response.js';
+import { type InvalidationLeader, StartInvalidation } from './start_invalidation.js';
 
 /** The leader's state that heartbeat responses depend on. */
-export interface ResponseLeader {
+export interface ResponseLeader extends InvalidationLeader {
   /** Returns whether this controller is the leader and its lease rules out any other leader at this moment. */
   isLeaseValid(): boolean;
   /** Returns whether the view of jobs is recent enough to renew workers' leases. */
   hasRecentJobView(): boolean;
   /** Returns whether the view of jobs is recent enough to start tasks. */
   mayStartTasks(): boolean;
-  /** Returns whether the job is known to be cancelled. The answer does not require that the state has been loaded. */
-  isCancelled(job: JobId): boolean;
 }
 
 /** Builds each response when it is sent. A response is `UNAVAILABLE` if it may not renew the worker's lease. */
 export class HeartbeatResponseBuilder {
+  private readonly startInvalidation: StartInvalidation;
+
   constructor(
     private readonly cluster: Cluster,
-    private readonly fencingToken: FencingToken,
+    private readonly tokens: FencingTokens,
     private readonly leader: ResponseLeader,
-  ) {}
+  ) {
+    this.startInvalidation = new StartInvalidation(cluster.context, cluster.placements, tokens, leader);
+  }
 
   /**
    * Returns whether responses may renew workers' leases: this controller leads and its view of jobs is recent enough.
@@ -39,7 +44,10 @@
 
   /** Returns a response to a heartbeat that was not reconciled. It carries no commands but the stops described above. */
   leaseRenewal(heartbeat: Heartbeat): HeartbeatResponse {
-    return this.mayRenewLeases() ? this.renewalWith([], heartbeat) : UNAVAILABLE;
+    if (!this.mayRenewLeases()) return UNAVAILABLE;
+    const machine = this.cluster.machines.get(heartbeat.machine);
+    if (machine) return this.renewalOf(machine, heartbeat, () => []);
+    return this.renewalWith(this.tokens.ofUntrackedMachines, heartbeat, []);
   }
 
   /** Returns a response to a reconciled heartbeat, with all commands that are due on the machine. */
@@ -49,13 +57,23 @@
     // dropped.
     const isNewest = machine.messages.latestSequence === heartbeat.sequence;
     const mayStartTasks = this.leader.mayStartTasks() && isNewest;
-    const commands = responseCommands(this.cluster, machine, mayStartTasks ? heartbeat.sequence : null);
-    return this.renewalWith(commands, heartbeat);
+    return this.renewalOf(machine, heartbeat, () =>
+      responseCommands(this.cluster, machine, mayStartTasks ? heartbeat.sequence : null),
+    );
+  }
+
+  private renewalOf(machine: Machine, heartbeat: Heartbeat, dueCommands: () => Command[]): HeartbeatResponse {
+    if (!this.startInvalidation.prepareRenewal(machine)) return UNAVAILABLE;
+    return this.renewalWith(this.tokens.current(machine), heartbeat, dueCommands());
   }
 
-  private renewalWith(commands: readonly Command[], heartbeat: Heartbeat): HeartbeatResponse {
+  private renewalWith(
+    fencingToken: FencingToken,
+    heartbeat: Heartbeat,
+    commands: readonly Command[],
+  ): HeartbeatResponse {
     const stops = this.stopsOfCancelledTasks(heartbeat, commands);
-    return { status: 200, fencingToken: this.fencingToken, commands: [...commands, ...stops] };
+    return { status: 200, fencingToken, commands: [...commands, ...stops] };
   }
 
   /** Returns the stops of reported tasks of cancelled jobs that `commands` does not stop already. */
--- a/src/core/workers/status_reconciliation.ts
+++ b/src/core/workers/status_reconciliation.ts
@@ -5,7 +5,8 @@
 import type { UnexpectedTask } from '../machines/reported_tasks.js';
 import type { Cluster } from '../state/cluster.js';
 import type { Placement } from '../state/placement.js';
-import { addMilliseconds, type FencingToken, type Heartbeat, type LiveTaskStatus, type TaskStatus } from '../types.js';
+import { addMilliseconds, type Heartbeat, type LiveTaskStatus, type TaskStatus } from '../types.js';
+import type { FencingTokens } from './fencing_tokens.js';
 import { placeReportedTask, recoverLiveTask } from './recovered_tasks.js';
 import { reconcileExit } from './task_exits.js';
 
@@ -30,19 +31,19 @@
 
 /**
  * Applies a machine's status unless it is outdated. Statuses can arrive late and in any order, so the status must be
- * newer than all before it. It must also carry this leader's fencing token, which proves that no older command can
+ * newer than all before it. It must also carry a fencing token of this leader, which proves that no older command can
  * still be executed. `mayBeOutdated` describes the exception.
  */
 export function reconcileStatus(
   cluster: Cluster,
   machine: Machine,
   status: Heartbeat,
-  fencingToken: FencingToken,
+  tokens: FencingTokens,
   source: StatusSource,
 ): StatusOutcome {
   machine.messages.recordFencingToken(status.fencingToken);
   if (!machine.messages.isNewer(status)) return IGNORED;
-  if (status.fencingToken !== fencingToken && mayBeOutdated(machine)) {
+  if (!tokens.isOfThisTerm(status.fencingToken, machine) && mayBeOutdated(machine)) {
     cluster.previousTerms.recovery?.countOutdatedStatus();
     return IGNORED;
   }
@@ -50,7 +51,7 @@
 }
 
 /**
- * Returns whether a status without this leader's fencing token may be outdated. On a registered or unreconciled
+ * Returns whether a status without a fencing token of this leader may be outdated. On a registered or unreconciled
  * machine, it may be older than a command of a previous leader that is still in transit. An unregistered machine that
  * no response is known to have reached may have been removed long ago, and a late copy of its status must not restore
  * tasks that ended.
@@ -71,6 +72,7 @@
 
   run(): StatusOutcome {
     this.applyAgentEpoch();
+    this.machine.commandChannel.confirmStartsBelow(this.status.fencingToken);
     this.markReconciled();
     this.applyInterruptionNotice();
     this.reconcileTasks();
@@ -133,7 +135,7 @@
   /** Handles tasks that are placed on the machine but missing from the status. */
   private reconcileMissingTasks(live: ReadonlySet<TaskKey>): void {
     const { cluster, machine } = this;
-    let startDropped = false;
+    let responseDropped = false;
     for (const [key, placement] of [...this.cluster.placements.onMachine(machine)]) {
       if (live.has(key) || placement.phase === 'planned') continue;
       if (placement.phase !== 'sent') {
@@ -141,22 +143,23 @@
         cluster.placements.release(placement, 'missingFromStatus');
         this.planning = 'due';
       } else if (this.isStartDropped(placement)) {
-        startDropped = true;
+        responseDropped ||= placement.sentInResponseTo !== null;
         this.revertStart(placement);
       }
     }
-    if (startDropped) machine.reachability.recordIgnoredResponse();
+    if (responseDropped) machine.reachability.recordIgnoredResponse();
   }
 
   /**
-   * Returns whether the task's absence from the status proves that the response with its start was dropped. Only a
-   * newer heartbeat proves this, because responses to pushed commands can overtake heartbeats. A pushed start without a
-   * response may still arrive, regardless of what heartbeats show (scenario late-starts.txt).
+   * Returns whether the task's absence from the status proves that its start never arrives. For a start in a response,
+   * only a newer heartbeat proves this, because responses to pushed commands can overtake heartbeats. A pushed start
+   * may still arrive until it is confirmed, regardless of what statuses show (scenario late-starts.txt).
    */
   private isStartDropped(placement: Placement): boolean {
     const { sentInResponseTo } = placement;
-    if (this.source !== 'heartbeat' || sentInResponseTo === null) return false;
-    return this.status.sequence > sentInResponseTo && !this.machine.commandChannel.isUnconfirmed(startKeyOf(placement));
+    if (this.machine.commandChannel.isUnconfirmed(startKeyOf(placement))) return false;
+    if (sentInResponseTo === null) return true;
+    return this.source === 'heartbeat' && this.status.sequence > sentInResponseTo;
   }
 
   /** Makes the start due again, or releases the placement if the task should no longer run. */
--- a/src/core/workers/status_requests.ts
+++ b/src/core/workers/status_requests.ts
@@ -81,7 +81,7 @@
   }
 
   private request(machine: Machine, agentEpoch: AgentEpoch, triesLeft: number, onDone: () => void): void {
-    this.delivery.deliver({ machine, agentEpoch, commands: [], starts: [] }, (outcome) => {
+    this.delivery.deliver({ machine, agentEpoch, commands: [] }, (outcome) => {
       if (outcome.kind === 'refused' && triesLeft > 1) {
         this.request(machine, outcome.agentEpoch, triesLeft - 1, onDone);
       } else {
--- a/test/sim/scenario/events/network.ts
+++ b/test/sim/scenario/events/network.ts
@@ -10,6 +10,7 @@
 /** Returns the hosts on the other side of a partition, by their name in a scenario. `*` stands for all hosts. */
 function partitionPeers(world: World, from: string | undefined): string[] {
   if (from === 'workers') return [...world.workers.keys()];
+  if (from === 'leader') return controllersNamed(world, from).map(({ name }) => name as string);
   if (from === 'control-plane') return [STATE_STORE_HOST, ...controllerNames(world)];
   return [from ?? '*'];
 }
@@ -19,7 +20,7 @@
 /** Events on the network. */
 export const networkEvents: EventTable = {
   /**
-   * partition CONTROLLER|MACHINE state-store|cloud|workers|users|control-plane|*|HOST S drop|delay|refuse: for S
+   * partition CONTROLLER|MACHINE state-store|cloud|workers|users|control-plane|leader|*|HOST S drop|delay|refuse: for S
    * seconds, messages between the two sides are dropped or delayed until the end. `control-plane` stands for the state
    * store and the other controllers. With `refuse`, the state store responds 503, and messages to and from other hosts
    * are dropped.
--- a/test/support/fake_worker.ts
+++ b/test/support/fake_worker.ts
@@ -93,6 +93,10 @@
   private listenAddress = '';
   private lastHeartbeatAt = 0;
   private hasUnsentChange = false;
+  private pushesHeldUp = false;
+  private heldPushes: (() => void)[] = [];
+  /** The starts in the pushes that are held up, by their names on the wire. */
+  readonly heldStarts = new Set<string>();
   /** Number of heartbeats that got a response with status 200. */
   successfulHeartbeats = 0;
   /** Number of heartbeats that got a redirect, an error or no response in time. */
@@ -136,6 +140,26 @@
     this.server.close();
   }
 
+  /**
+   * Holds up all pushed commands from now on. They are executed after `releasePushes`, even if their sender has given
+   * up by then, if their fencing token and agent epoch still match.
+   */
+  holdPushes(): void {
+    this.pushesHeldUp = true;
+  }
+
+  /** Delivers the held pushes in order. */
+  releasePushes(): void {
+    this.pushesHeldUp = false;
+    for (const deliver of this.heldPushes.splice(0)) deliver();
+  }
+
+  private async waitWhileHeldUp(commands: Fields[]): Promise<void> {
+    if (!this.pushesHeldUp) return;
+    for (const { call, chick } of commands) if (call === 'run') this.heldStarts.add(String(chick));
+    await new Promise<void>((resolve) => this.heldPushes.push(resolve));
+  }
+
   /** Returns whether the highest fencing token that the worker has received is `token`. */
   hasFencingToken(token: bigint): boolean {
     return this.highestFencingToken === token;
@@ -235,6 +259,7 @@
     const parts: Buffer[] = [];
     for await (const part of request) parts.push(part as Buffer);
     const body = decodeCbor(Buffer.concat(parts)) as Fields;
+    await this.waitWhileHeldUp(body.calls as Fields[]);
     const fencingToken = BigInt(body.crest as number | bigint);
     const executed = fencingToken >= this.highestFencingToken && Number(body.roost) === this.agentEpoch;
     if (executed) {
--- a/test/support/process_cluster.ts
+++ b/test/support/process_cluster.ts
@@ -4,7 +4,14 @@
 import { FakeServices } from './fake_services.js';
 import { FakeWorker, HEARTBEAT_RETRY_DELAY_MS, MIN_HEARTBEAT_PERIOD_FACTOR, WorkLog } from './fake_worker.js';
 import { sendRequest } from './http.js';
-import { allocateAddress, type ControllerAddress, startController, waitUntil, writeSettingsFile } from './processes.js';
+import {
+  allocateAddress,
+  type ControllerAddress,
+  type SettingsOverrides,
+  startController,
+  waitUntil,
+  writeSettingsFile,
+} from './processes.js';
 
 /*
  * Three controller processes on loopback, started as deploy/service.toml says, with stand-ins for workers, state store
@@ -21,6 +28,8 @@
   readonly id: string;
   readonly tasks: number;
   readonly cpus: number;
+  /** Whether the job is a service of the highest priority, whose tasks run until it is cancelled. */
+  readonly service?: boolean;
 }
 
 /** Three controllers, six workers, a state store and a cloud that provisions nothing. */
@@ -35,7 +44,11 @@
   private settingsFiles: string[] = [];
   private processes: ChildProcess[] = [];
 
-  constructor(private readonly leaseSeconds: number) {}
+  private readonly heartbeatSeconds: number;
+
+  constructor(private readonly overrides: SettingsOverrides) {
+    this.heartbeatSeconds = overrides.heartbeatSeconds ?? HEARTBEAT_SECONDS;
+  }
 
   async start(): Promise<void> {
     const servicesPort = await this.services.start();
@@ -45,7 +58,7 @@
         own,
         this.controllers.filter((other) => other !== own),
         servicesPort,
-        { leaseSeconds: this.leaseSeconds, heartbeatSeconds: HEARTBEAT_SECONDS },
+        { ...this.overrides, heartbeatSeconds: this.heartbeatSeconds },
       ),
     );
     this.startControllers();
@@ -54,7 +67,8 @@
   }
 
   private async addWorker(id: string): Promise<void> {
-    const options = { id, zone: ZONE, heartbeatMs: HEARTBEAT_SECONDS * 1000, leaseMs: this.leaseSeconds * 1000 };
+    const { leaseSeconds } = this.overrides;
+    const options = { id, zone: ZONE, heartbeatMs: this.heartbeatSeconds * 1000, leaseMs: leaseSeconds * 1000 };
     const runMs = (job: string): number => this.runMs.get(job) ?? 1000;
     const worker = new FakeWorker({ ...options, runMs }, this.controllers, this.log);
     await worker.start();
@@ -108,14 +122,14 @@
 
   /** Waits until every worker's heartbeats have succeeded for `ms` milliseconds, as derived from their number. */
   async waitForSuccessfulHeartbeats(ms: number): Promise<void> {
-    const successes = 1 + Math.ceil(ms / (MIN_HEARTBEAT_PERIOD_FACTOR * HEARTBEAT_SECONDS * 1000));
+    const successes = 1 + Math.ceil(ms / (MIN_HEARTBEAT_PERIOD_FACTOR * this.heartbeatSeconds * 1000));
     const targets = new Map(this.workers.map((worker) => [worker, worker.successfulHeartbeats + successes]));
     await waitUntil('controllers respond to the heartbeats of all workers', () =>
       [...targets].every(([worker, count]) => worker.successfulHeartbeats >= count),
     );
   }
 
-  async submit({ id, tasks, cpus }: JobOptions, runMs: number): Promise<void> {
+  async submit({ id, tasks, cpus, service = false }: JobOptions, runMs: number): Promise<void> {
     this.runMs.set(id, runMs);
     const resources = { cpus, gpus: 0, mem_gb: 1, plumage: 'img', image_gb: 0, breeds: null, grove: null };
     const options = { same_place: false, apart: false, loaners: false, flight_s: runMs / 1000, cache_s: 0, stash_s: 0 };
@@ -123,8 +137,8 @@
       ref: id,
       flock: 'f',
       crew: 'crew',
-      shape: 'batch',
-      rank: 'normal',
+      shape: service ? 'daemon' : 'batch',
+      rank: service ? 'critical' : 'normal',
       chicks: tasks,
       ...resources,
       ...options,
@@ -196,7 +210,12 @@
 
 /** Starts a cluster that is stopped at the end of the test. */
 export async function startCluster(t: TestContext, leaseSeconds = LEASE_SECONDS): Promise<ProcessCluster> {
-  const cluster = new ProcessCluster(leaseSeconds);
+  return await startClusterWith(t, { leaseSeconds });
+}
+
+/** Starts a cluster with the given settings that is stopped at the end of the test. */
+export async function startClusterWith(t: TestContext, overrides: SettingsOverrides): Promise<ProcessCluster> {
+  const cluster = new ProcessCluster(overrides);
   t.after(() => cluster.stop());
   await cluster.start();
   return cluster;
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -89,6 +89,7 @@
 export interface SettingsOverrides {
   readonly leaseSeconds: number;
   readonly heartbeatSeconds?: number;
+  readonly cancellationTimeoutSeconds?: number;
 }
 
 function applyOverrides(
@@ -110,6 +111,7 @@
     .replace(/^initial_size = .*/m, `initial_size = ${others.length + 1}`)
     .replace(/^lease_s = .*/m, `lease_s = ${overrides.leaseSeconds.toFixed(1)}`)
     .replace(/^report_s = .*/m, `report_s = ${(overrides.heartbeatSeconds ?? 2).toFixed(1)}`)
+    .replace(/^cancel_s = .*/m, `cancel_s = ${(overrides.cancellationTimeoutSeconds ?? 39).toFixed(1)}`)
     .replace('[endpoints]', `${siblings.join('')}[endpoints]`);
 }
 
