Simulator: pushes that are held up or repeated, and stricter starts on workers

Cause: the simulator showed a late start only if the stop behind it came a tick later. Held messages were delivered in any order, where the protocol says in order; a task whose image is present began at the next tick of 100 ms, so a stop that came with it hid the start; an exited attempt was forgotten when its task started again with another number, where workers keep it until it is acknowledged.

Change: held messages arrive in the order of sending; such a task is on the machine at once; earlier attempts stay in statuses.

--- a/test/sim/network.ts
+++ b/test/sim/network.ts
@@ -4,7 +4,10 @@
 /** The host name of the state store. */
 export const STATE_STORE_HOST = 'state-store';
 
-/** Whether a partition drops messages, or delays them until its end. */
+/** Time over which the messages that a partition delayed are delivered after its end, in milliseconds. */
+const DELAYED_DELIVERY_MS = 20;
+
+/** Whether a partition drops messages, or delays them until its end. They then arrive in the order of sending. */
 type PartitionMode = 'drop' | 'delay';
 
 /** A fault that separates two hosts. */
@@ -37,7 +40,11 @@
     this.partitions.add(partition);
     this.clock.schedule(ms, () => {
       this.partitions.delete(partition);
-      for (const deliver of partition.delayedMessages) this.clock.schedule(this.clock.randomBetween(1, 20), deliver);
+      const delays = partition.delayedMessages.map(() => this.clock.randomBetween(1, DELAYED_DELIVERY_MS));
+      delays.sort((a, b) => a - b);
+      partition.delayedMessages.forEach((deliver, i) => {
+        this.clock.schedule(delays[i] ?? 0, deliver);
+      });
     });
   }
 
--- a/test/sim/scenario/events/jobs.ts
+++ b/test/sim/scenario/events/jobs.ts
@@ -4,12 +4,18 @@
 import { makeJobSpec, numberOption, readJobOptions } from '../../job_options.js';
 import type { World } from '../../world.js';
 import { hangWorkers } from './machines.js';
-import { type EventTable, noteFault } from './targets.js';
+import { type EventTable, noteFault, workersNamed } from './targets.js';
 
 /** Maximum number of machines of cancelled jobs that `cancel-running` lets hang. */
 const HANGING_MACHINES = 8;
 /** Time within which `cancel-running` cancels all its jobs, in milliseconds. */
 const CANCELLATION_SPREAD_MS = 200;
+/** The number of the first service that `cancel-held-starts` submits. */
+const HELD_SERVICES_FROM = 7000;
+/** Share of the time of `cancel-held-starts` in which the services are submitted. */
+const SUBMISSION_SHARE = 0.5;
+/** Maximum time from when a start is held up until its service is cancelled, in milliseconds. */
+const MAX_CANCELLATION_DELAY_MS = 400;
 
 /**
  * Cancels the first `count` running jobs within CANCELLATION_SPREAD_MS. With `hangSeconds`, up to HANGING_MACHINES of
@@ -28,6 +34,36 @@
   for (const machine of [...machines].slice(0, HANGING_MACHINES)) hangWorkers(world, machine, hangSeconds);
 }
 
+/** The number of services that `cancel-held-starts` has submitted, by world, so that each gets an id of its own. */
+const heldServices = new WeakMap<World, number>();
+
+/**
+ * Submits `count` services of one replica within `ms` milliseconds. Users cancel each one shortly after its start is
+ * held up, or at the end of that time.
+ */
+function submitAndCancelHeldServices(world: World, count: number, ms: number): void {
+  const { clock, users } = world;
+  const held = new Set<string>();
+  const team = world.options.teams[0]?.name ?? 'crew';
+  const first = heldServices.get(world) ?? 0;
+  heldServices.set(world, first + count);
+  world.onPushHeld = ({ commands }) => {
+    for (const { op, job } of commands) {
+      if (op !== 'start' || !held.delete(job)) continue;
+      clock.schedule(clock.randomBetween(0, MAX_CANCELLATION_DELAY_MS), () => users.cancel(job));
+    }
+  };
+  for (let i = 0; i < count; i++) {
+    const options = { team, cpus: '0.5', priorityLevel: '3', estimatedRuntime: '0', toleratesSpot: 'yes' };
+    const spec = makeJobSpec(`job-${HELD_SERVICES_FROM + first + i}`, 'service', options);
+    held.add(spec.id);
+    clock.schedule(clock.randomBetween(0, ms * SUBMISSION_SHARE), () => users.submit(spec, 1e9));
+    clock.schedule(ms, () => {
+      if (held.delete(spec.id)) users.cancel(spec.id);
+    });
+  }
+}
+
 /** Events caused by users. */
 export const jobEvents: EventTable = {
   /** submit JOB array|gang|service [OPTION ...]: a user submits a job */
@@ -47,6 +83,15 @@
   'cancel-running'(world, [count, hangSeconds]) {
     cancelRunning(world, Number(count), hangSeconds);
   },
+  /**
+   * cancel-held-starts MACHINE N S: commands pushed to the machine within S seconds are held up as by `hold-pushes`, and
+   * users submit N services and cancel each one when its start is held up
+   */
+  'cancel-held-starts'(world, [which, count, seconds]) {
+    const ms = noteFault(world, seconds);
+    for (const worker of workersNamed(world, which)) worker.pushesHeldUntil = world.clock.now + ms;
+    submitAndCancelHeldServices(world, Number(count), ms);
+  },
   /** cancel-on-completion SHARE S: for S seconds, this share of the completing jobs is cancelled at their completion */
   'cancel-on-completion'(world, [share, seconds]) {
     world.users.cancelOnCompletion = { share: Number(share), until: world.clock.now + noteFault(world, seconds) };
--- a/test/sim/scenario/events/network.ts
+++ b/test/sim/scenario/events/network.ts
@@ -102,6 +102,19 @@
     const ms = noteFault(world, seconds);
     for (const worker of workersNamed(world, which)) worker.heartbeatsLostUntil = world.clock.now + ms;
   },
+  /**
+   * hold-pushes MACHINE S: commands pushed to the machine within S seconds get no response, and are executed at the end
+   * of that time if token and agent epoch still match
+   */
+  'hold-pushes'(world, [which, seconds]) {
+    const ms = noteFault(world, seconds);
+    for (const worker of workersNamed(world, which)) worker.pushesHeldUntil = world.clock.now + ms;
+  },
+  /** duplicate-pushes S: pushed commands that workers execute within S seconds arrive a second time, 1 to 60 s later */
+  'duplicate-pushes'(world, [seconds]) {
+    world.duplicatePushesUntil = world.clock.now + noteFault(world, seconds);
+    world.invariants.faultsUntil += 60_000;
+  },
   /**
    * delay-heartbeats MACHINE S: heartbeats sent within S seconds are delayed until then, and reach the controller that
    * leads then
--- a/test/sim/task_executor.ts
+++ b/test/sim/task_executor.ts
@@ -28,6 +28,8 @@
 export class TaskExecutor {
   /** The tasks by job and task number, in the order of their starts. */
   readonly tasks = new Map<string, SimulatedTask>();
+  /** Exited attempts of tasks that have been started again since. They are reported until they are acknowledged. */
+  private readonly earlierAttempts = new Map<string, SimulatedTask>();
 
   constructor(
     private readonly world: World,
@@ -38,6 +40,11 @@
     return this.world.clock.now;
   }
 
+  /** All tasks in the worker's heartbeats, including exited attempts. */
+  get reportedTasks(): SimulatedTask[] {
+    return [...this.tasks.values(), ...this.earlierAttempts.values()];
+  }
+
   /** Advances all tasks by `ms` milliseconds. */
   advance(ms: number): void {
     for (const task of this.tasks.values()) advanceTask(this.world, this.worker, task, ms);
@@ -50,6 +57,7 @@
       this.world.gangs.remove(this.worker, task);
     }
     this.tasks.clear();
+    this.earlierAttempts.clear();
   }
 
   private notifyEnded(task: SimulatedTask): void {
@@ -96,14 +104,17 @@
     this.world.commandCounts.onCommand(command);
     const key = `${command.job}/${command.index}`;
     const task = this.tasks.get(key);
+    const attemptKey = `${key}/${command.attempt}`;
     if (command.op === 'acknowledge') {
+      this.earlierAttempts.delete(attemptKey);
       if (task && task.attempt === command.attempt && task.phase === 'exited') {
         this.tasks.delete(key);
         this.world.gangs.remove(this.worker, task);
       }
     } else if (command.op === 'stop') {
       if (task && task.attempt === command.attempt) this.stop(task, command.gracePeriodSeconds);
-    } else if (!task || task.attempt !== command.attempt) this.start(command.job, command.index, command.attempt, task);
+    } else if (task?.attempt !== command.attempt && !this.earlierAttempts.has(attemptKey))
+      this.start(command.job, command.index, command.attempt, task);
   }
 
   private stop(task: SimulatedTask, gracePeriodSeconds: number): void {
@@ -142,7 +153,10 @@
     if (!spec) return;
     if (old && old.phase !== 'exited') return;
     const fits = this.fits(spec);
-    if (old) this.world.gangs.remove(this.worker, old);
+    if (old) {
+      this.world.gangs.remove(this.worker, old);
+      this.earlierAttempts.set(`${job}/${index}/${old.attempt}`, old);
+    }
     this.tasks.set(`${job}/${index}`, task);
     this.world.gangs.add(this.worker, task);
     this.worker.hasUnreportedChange = true;
@@ -154,6 +168,8 @@
     task.imagePulledAt =
       this.now +
       (this.worker.images.has(spec.image) ? 0 : (spec.imageGb / this.worker.type.imagePullGbPerSecond) * 1000);
+    // A task whose image is present is on the machine at once, even if the next command stops it.
+    advanceTask(this.world, this.worker, task, 0);
   }
 
   /** Returns whether the machine has enough free cores and GPUs for one more task of the job. */
--- a/test/sim/worker.ts
+++ b/test/sim/worker.ts
@@ -51,6 +51,8 @@
    * responses are ignored.
    */
   heartbeatsDelayedUntil = 0;
+  /** The time until which pushed commands are held up. They are executed then, after their senders have given up. */
+  pushesHeldUntil = 0;
   /** Whether every task that starts on this worker fails. */
   failsTasks = false;
   /** The speed of its tasks relative to a normal machine. */
@@ -130,7 +132,7 @@
       fencingToken: this.highestFencingToken as FencingToken,
       interruptionNoticeSeconds:
         this.interruptionAt === null ? null : Math.max(0, (this.interruptionAt - this.now) / 1000),
-      tasks: [...this.tasks.values()].map((task) => ({
+      tasks: this.executor.reportedTasks.map((task) => ({
         job: task.job,
         index: task.index,
         attempt: task.attempt,
@@ -238,16 +240,29 @@
   /** Receives pushed commands. A worker that hangs handles them after it resumes. */
   receivePushedCommands(push: CommandPush, reply: (value: CommandPushResponse) => void): void {
     if (!this.isAlive) return;
-    if (this.isHung) {
-      this.world.clock.schedule(this.hungUntil - this.now + 1, () => this.receivePushedCommands(push, reply));
-      return;
-    }
+    const handleLater = (at: number): void =>
+      this.world.clock.schedule(at - this.now + 1, () => this.receivePushedCommands(push, reply));
+    if (this.now < this.pushesHeldUntil) {
+      this.world.onPushHeld(push);
+      handleLater(this.pushesHeldUntil);
+    } else if (this.isHung) handleLater(this.hungUntil);
+    else this.handlePushedCommands(push, reply);
+  }
+
+  private handlePushedCommands(push: CommandPush, reply: (value: CommandPushResponse) => void): void {
     const executed = push.fencingToken >= this.highestFencingToken && push.agentEpoch === this.agentEpoch;
     if (executed) {
       this.world.commandCounts.onPushedCommands(push);
       this.raiseFencingToken(push.fencingToken);
       for (const command of push.commands) this.executor.execute(command);
+      if (this.now < this.world.duplicatePushesUntil) this.scheduleDuplicate(push);
     }
     reply({ executed, heartbeat: this.makeHeartbeat() });
   }
+
+  /** Delivers pushed commands that were executed a second time, 1 to 60 s later. */
+  private scheduleDuplicate(push: CommandPush): void {
+    const { clock } = this.world;
+    clock.schedule(clock.randomBetween(1000, 60_000), () => this.receivePushedCommands(push, () => {}));
+  }
 }
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -1,4 +1,5 @@
 /** The simulated deployment in which scenarios and property tests run. */
+import type { CommandPush } from '../../src/core/messages.js';
 import type { Settings, Tuning } from '../../src/core/settings.js';
 import type { ControllerName, JobId, MachineId, MachineType, ZoneName } from '../../src/core/types.js';
 import { ServiceAvailability } from './availability.js';
@@ -75,6 +76,10 @@
   readonly commandCounts = new CommandCounts();
   /** The time until which each heartbeat that a worker sends is delivered a second time, with a delay. */
   duplicateHeartbeatsUntil = 0;
+  /** The time until which pushed commands that a worker executes are delivered a second time, with a delay. */
+  duplicatePushesUntil = 0;
+  /** Called with pushed commands that are held up on their way to a worker. */
+  onPushHeld: (push: CommandPush) => void = () => {};
   /**
    * The number of transactions that the state store refused for their size. Only those of controllers of this version
    * count, because some earlier builds ignore announced limits.
