An exit is acknowledged only with a higher token than its pushed start had

Once the replica's exit is acknowledged the worker has forgotten the attempt and runs it again: beside its successor, or long after its cancellation.

Cause: as for late starts, nothing ended the validity of the push. While the exit is in the status a repeated start has no effect, so the acknowledgement is what must wait.

Change: CommandChannel keeps pushed starts until a status shows a higher token. Before a response that would acknowledge such an exit the machine's token is raised; the worker adopts it before it executes the acknowledgement. Without a newer revision the exit waits for a write, no lease does. Exits on machines that are leaving aren't acknowledged, which saves the raise for replicas that move.

--- a/src/core/health/health_checks.ts
+++ b/src/core/health/health_checks.ts
@@ -118,7 +118,7 @@
     });
     this.cluster.clearMachine(machine, 'agentLeaseExpired');
     machine.messages.expireEpoch();
-    machine.commandChannel.clearUnconfirmedStarts();
+    machine.commandChannel.clearPushedStarts();
     this.cluster.markReconciled(machine, 'leaseEnded');
     this.scheduleRoundSoon();
   }
--- a/src/core/machines/command_channel.ts
+++ b/src/core/machines/command_channel.ts
@@ -1,6 +1,6 @@
 /**
- * Tracks the pushes of commands to one machine: whether one is in flight, which starts may still arrive, and how often
- * the machine's fencing token was raised to keep starts from arriving.
+ * Tracks the pushes of commands to one machine: whether one is in flight, which starts may still arrive or arrive again,
+ * and how often the machine's fencing token was raised to keep starts from arriving.
  */
 
 import { type StartKey, startKey } from '../jobs/task_keys.js';
@@ -18,7 +18,9 @@
 export class CommandChannel {
   private inFlight = false;
   private pausedUntil = 0 as MonotonicTime;
-  private readonly unconfirmed = new Map<StartKey, PushedStart>();
+  /** The pushed starts that the worker may not refuse, whether or not they have been confirmed. */
+  private readonly pushed = new Map<StartKey, PushedStart>();
+  private readonly unconfirmed = new Set<StartKey>();
   private raises = 0n;
 
   /** Whether a push is awaiting its response. */
@@ -37,7 +39,10 @@
    */
   begin(starts: Iterable<PushedStart> = []): void {
     this.inFlight = true;
-    for (const start of starts) this.unconfirmed.set(keyOf(start), start);
+    for (const start of starts) {
+      this.pushed.set(keyOf(start), start);
+      this.unconfirmed.add(keyOf(start));
+    }
   }
 
   /** Ends the push in flight, after its response or once no response can arrive any more. */
@@ -45,17 +50,24 @@
     this.inFlight = false;
   }
 
-  /** Records a response to the push with these starts. They have arrived, or never will. */
+  /**
+   * Records a response to the push with these starts. They have arrived, or never will. A push that was executed may
+   * arrive again.
+   */
   confirmStarts(starts: Iterable<PushedStart>): void {
     for (const start of starts) this.unconfirmed.delete(keyOf(start));
   }
 
   /**
    * Records a status with this fencing token. The worker refuses starts with lower tokens, so those that the status
-   * does not show never arrive.
+   * does not show never arrive, and none arrives again.
    */
   confirmStartsBelow(token: FencingToken): void {
-    for (const [key, { fencingToken }] of this.unconfirmed) if (fencingToken < token) this.unconfirmed.delete(key);
+    for (const [key, { fencingToken }] of this.pushed) {
+      if (fencingToken >= token) continue;
+      this.pushed.delete(key);
+      this.unconfirmed.delete(key);
+    }
   }
 
   /** Pauses pushes until the given time, after one without a response. */
@@ -68,13 +80,20 @@
     return this.unconfirmed.has(start);
   }
 
-  /** The pushed starts that may still arrive. */
-  get unconfirmedStarts(): Iterable<PushedStart> {
-    return this.unconfirmed.values();
+  /** Returns whether a worker that has seen no token above `token` may execute the pushed start, or execute it again. */
+  mayArrive(start: StartKey, token: FencingToken): boolean {
+    const pushed = this.pushed.get(start);
+    return pushed !== undefined && pushed.fencingToken >= token;
+  }
+
+  /** The pushed starts that may arrive, or arrive again. */
+  get pushedStarts(): Iterable<PushedStart> {
+    return this.pushed.values();
   }
 
-  /** Forgets all unconfirmed starts, because none can arrive after their agent epoch has ended. */
-  clearUnconfirmedStarts(): void {
+  /** Forgets all pushed starts, because none can arrive after their agent epoch has ended. */
+  clearPushedStarts(): void {
+    this.pushed.clear();
     this.unconfirmed.clear();
   }
 
--- a/src/core/workers/commands.ts
+++ b/src/core/workers/commands.ts
@@ -4,7 +4,7 @@
 import type { Machine } from '../machines/machine.js';
 import type { Cluster } from '../state/cluster.js';
 import type { Placement } from '../state/placement.js';
-import type { Command, SequenceNumber } from '../types.js';
+import type { Command, FencingToken, SequenceNumber } from '../types.js';
 import { mayAcknowledgeUnknownJob } from './recovered_tasks.js';
 import { isGangStartDue, mayStart } from './start_checks.js';
 
@@ -12,16 +12,17 @@
 const MAX_COMMANDS_PER_RESPONSE = 400;
 
 /**
- * Returns the commands for a heartbeat response: first acknowledged exits, then stops, then starts. The starts are
- * recorded as sent. `startsInResponseTo` is the sequence number of the heartbeat, or null if the response may not carry
+ * Returns the commands for a heartbeat response with this fencing token: first acknowledged exits, then stops, then
+ * starts. The starts are recorded as sent. `startsInResponseTo` is the sequence number of the heartbeat, or null if the response may not carry
  * starts.
  */
 export function responseCommands(
   cluster: Cluster,
   machine: Machine,
+  fencingToken: FencingToken,
   startsInResponseTo: SequenceNumber | null,
 ): Command[] {
-  const commands = [...acknowledgeCommands(cluster, machine), ...stopCommands(cluster, machine)];
+  const commands = [...acknowledgeCommands(cluster, machine, fencingToken), ...stopCommands(cluster, machine)];
   if (startsInResponseTo === null) return commands;
   let starts = MAX_COMMANDS_PER_RESPONSE - commands.length;
   for (const placement of cluster.placements.onMachine(machine).values()) {
@@ -60,12 +61,15 @@
   return { op: 'start', job: placement.job.id, index: placement.index, attempt: placement.attempt };
 }
 
-/** Returns the acknowledgements of exited tasks whose results are stored, or that have no result. */
-function acknowledgeCommands(cluster: Cluster, machine: Machine): Command[] {
+/**
+ * Returns the acknowledgements of exited tasks whose results are stored, or that have no result. The worker adopts the
+ * response's fencing token before it executes them.
+ */
+function acknowledgeCommands(cluster: Cluster, machine: Machine, fencingToken: FencingToken): Command[] {
   const commands: Command[] = [];
   for (const { job: id, index, attempt, isDone } of machine.reportedTasks.exited) {
-    // A start of the same attempt may still be in transit, and would run the task again after an acknowledgement.
-    if (machine.commandChannel.isUnconfirmed(startKey(id, index, attempt))) continue;
+    // A pushed start of the same attempt may still arrive, or come again, and run the task after an acknowledgement.
+    if (machine.commandChannel.mayArrive(startKey(id, index, attempt), fencingToken)) continue;
     const job = cluster.jobs.get(id);
     const mayAcknowledge = job ? !isDone || job.stored.isResultDurable(index) : mayAcknowledgeUnknownJob(cluster, id);
     if (mayAcknowledge) commands.push({ op: 'acknowledge', job: id, index, attempt });
--- a/src/core/workers/response_builder.ts
+++ b/src/core/workers/response_builder.ts
@@ -57,14 +57,20 @@
     // dropped.
     const isNewest = machine.messages.latestSequence === heartbeat.sequence;
     const mayStartTasks = this.leader.mayStartTasks() && isNewest;
-    return this.renewalOf(machine, heartbeat, () =>
-      responseCommands(this.cluster, machine, mayStartTasks ? heartbeat.sequence : null),
+    const startsInResponseTo = mayStartTasks ? heartbeat.sequence : null;
+    return this.renewalOf(machine, heartbeat, (token) =>
+      responseCommands(this.cluster, machine, token, startsInResponseTo),
     );
   }
 
-  private renewalOf(machine: Machine, heartbeat: Heartbeat, dueCommands: () => Command[]): HeartbeatResponse {
+  private renewalOf(
+    machine: Machine,
+    heartbeat: Heartbeat,
+    dueCommands: (token: FencingToken) => Command[],
+  ): HeartbeatResponse {
     if (!this.startInvalidation.prepareRenewal(machine)) return UNAVAILABLE;
-    return this.renewalWith(this.tokens.current(machine), heartbeat, dueCommands());
+    const token = this.tokens.current(machine);
+    return this.renewalWith(token, heartbeat, dueCommands(token));
   }
 
   private renewalWith(
--- a/src/core/workers/start_invalidation.ts
+++ b/src/core/workers/start_invalidation.ts
@@ -1,5 +1,6 @@
-/** Keeps pushed starts from arriving after their tasks are no longer wanted on the machine. */
+/** Keeps pushed starts from arriving, or arriving again, after their tasks are no longer wanted on the machine. */
 
+import { startKey } from '../jobs/task_keys.js';
 import type { PushedStart } from '../machines/command_channel.js';
 import type { Machine } from '../machines/machine.js';
 import type { PlacementTable } from '../state/placement_table.js';
@@ -16,8 +17,8 @@
 }
 
 /**
- * Raises the fencing token of a machine to which an unwanted start may still be on its way. The raise needs no call: the
- * response to the next heartbeat carries the higher token. A worker either accepts that response and refuses the start,
+ * Raises the fencing token of a machine to which an unwanted start may still be on its way, for the first time or as a
+ * repetition of a push that was executed. The raise needs no call: the response to the next heartbeat carries the higher token. A worker either accepts that response and refuses the start,
  * or accepts no response and its lease ends, and with it the agent epoch that the start names.
  */
 export class StartInvalidation {
@@ -35,9 +36,8 @@
    */
   prepareRenewal(machine: Machine): boolean {
     const token = this.tokens.current(machine);
-    const unwanted = [...machine.commandChannel.unconfirmedStarts].filter(
-      (start) => start.fencingToken === token && this.isUnwanted(machine, start),
-    );
+    const valid = [...machine.commandChannel.pushedStarts].filter(({ fencingToken }) => fencingToken === token);
+    const unwanted = valid.filter((start) => this.isUnwanted(machine, start));
     if (unwanted.length === 0) return true;
     const starts = unwanted.length;
     if (this.tokens.tryRaise(machine)) {
@@ -46,15 +46,25 @@
       return true;
     }
     this.leader.rewriteMachineRecord(machine);
-    if (!unwanted.some(({ job }) => this.leader.isCancelled(job))) return true;
+    if (!unwanted.some((start) => isUnconfirmed(machine, start) && this.leader.isCancelled(start.job))) return true;
     this.context.log('lease renewal withheld', { machine: machine.id, starts });
     return false;
   }
 
-  /** Returns whether the start is not to be executed: the job is cancelled, or the task is to stop or has exited. */
-  private isUnwanted(machine: Machine, { job, index, attempt }: PushedStart): boolean {
-    if (this.leader.isCancelled(job)) return true;
+  /**
+   * Returns whether the start is not to be executed. One that has not been confirmed is unwanted once the task is to
+   * stop, its job is cancelled or it has exited. A confirmed one is unwanted once the task has exited, because the
+   * worker would run the attempt again after the exit is acknowledged. On a machine that is about to be terminated, exits
+   * need not be acknowledged.
+   */
+  private isUnwanted(machine: Machine, start: PushedStart): boolean {
+    const { job, index, attempt } = start;
     const placement = this.placements.find(machine, job, index);
-    return placement?.attempt !== attempt || placement.pendingStop !== null;
+    const hasExited = placement?.attempt !== attempt;
+    if (!isUnconfirmed(machine, start)) return hasExited && !machine.cordon.isLeaving;
+    return hasExited || placement.pendingStop !== null || this.leader.isCancelled(job);
   }
 }
+
+const isUnconfirmed = ({ commandChannel }: Machine, { job, index, attempt }: PushedStart): boolean =>
+  commandChannel.isUnconfirmed(startKey(job, index, attempt));
--- a/src/core/workers/status_reconciliation.ts
+++ b/src/core/workers/status_reconciliation.ts
@@ -91,7 +91,7 @@
       lostTasks: machine.allocations.taskCount,
     });
     cluster.clearMachine(machine, 'agentEpochEnded');
-    machine.commandChannel.clearUnconfirmedStarts();
+    machine.commandChannel.clearPushedStarts();
     machine.images.dropAbandonedPulls(() => false);
     this.planning = 'due';
   }
--- a/test/core/workers/start_invalidation.test.ts
+++ b/test/core/workers/start_invalidation.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
+import { startKey } from '../../../src/core/jobs/task_keys.js';
 import type { PushedStart } from '../../../src/core/machines/command_channel.js';
 import type { Placement, StopRequest } from '../../../src/core/state/placement.js';
 import type { Attempt, FencingToken, JobId, MonotonicTime, Revision } from '../../../src/core/types.js';
@@ -78,12 +79,28 @@
     assert.deepEqual(rewrites, ['i-1']);
   });
 
+  test('a confirmed start may come again, so the token is raised once its task has exited, and not before', () => {
+    const { machine, state, rewrites, tokens, invalidation } = setUp(FIRST_TOKEN);
+    machine.commandChannel.confirmStarts([START]);
+    Object.assign(state, { isCancelled: true, pendingStop: STOP });
+    assert.equal(invalidation.prepareRenewal(machine), true);
+    assert.deepEqual(rewrites, []);
+    state.isPlaced = false;
+    assert.equal(invalidation.prepareRenewal(machine), true);
+    assert.deepEqual(rewrites, ['i-1']);
+    const key = startKey(START.job, START.index, START.attempt);
+    assert.equal(machine.commandChannel.mayArrive(key, tokens.current(machine)), true);
+    state.revision = FIRST_TOKEN + 1n;
+    assert.equal(invalidation.prepareRenewal(machine), true);
+    assert.equal(machine.commandChannel.mayArrive(key, tokens.current(machine)), false);
+  });
+
   test('a status with the raised token confirms the start, one with the earlier token does not', () => {
     const { machine } = setUp(200n);
     machine.commandChannel.confirmStartsBelow(FIRST_TOKEN);
-    assert.equal([...machine.commandChannel.unconfirmedStarts].length, 1);
+    assert.equal([...machine.commandChannel.pushedStarts].length, 1);
     machine.commandChannel.confirmStartsBelow((FIRST_TOKEN + 1n) as FencingToken);
-    assert.equal([...machine.commandChannel.unconfirmedStarts].length, 0);
+    assert.equal([...machine.commandChannel.pushedStarts].length, 0);
   });
 
   test('only tokens that belong to this leader count as its own', () => {
--- a/test/late_start_process.test.ts
+++ b/test/late_start_process.test.ts
@@ -4,8 +4,9 @@
 import { pause, waitUntil } from './support/processes.js';
 
 /*
- * Guards against a pushed start that arrives and is executed long after its service was cancelled. Three controller
- * processes run on loopback. The links on which commands are pushed to the workers are held up, while heartbeats pass.
+ * Guards against a pushed start that is executed long after its service was cancelled, because it arrives late or a
+ * second time. Three controller processes run on loopback. Pushes to the workers are held up or repeated, while
+ * heartbeats pass.
  */
 
 /** Heartbeats are rare enough that a service can be cancelled before a heartbeat response repeats its starts. */
@@ -50,3 +51,20 @@
   assert.deepEqual(log.concurrentRuns, []);
   assert.deepEqual(log.expiredLeases, []);
 });
+
+test('a start that comes again after its replica was stopped and acknowledged is not executed', async (t) => {
+  const cluster = await startClusterWith(t, { leaseSeconds: LEASE_SECONDS });
+  const { log, workers } = cluster;
+  await cluster.submit({ id: 'job-1', tasks: 6, cpus: 4 }, 300_000);
+  await cluster.submit({ id: 'job-2', tasks: 6, cpus: 3, service: true }, 300_000);
+  await waitUntil('all tasks run', () => log.runningTasks() === 12);
+  assert.equal(await cluster.cancel('job-2'), 'withdrawn');
+  const isForgotten = (): boolean =>
+    workers.every(({ taskNames }) => taskNames.every((task) => task.startsWith('job-1')));
+  await waitUntil('the exits of all replicas are acknowledged', isForgotten);
+  for (const worker of workers) worker.repeatPushes();
+  assert.equal(log.runningTasks('job-2'), 0);
+  assert.equal(log.runningTasks('job-1'), 6);
+  assert.equal(Math.max(...log.startsByTask.values()), 1);
+  assert.deepEqual(log.expiredLeases, []);
+});
--- a/test/support/fake_worker.ts
+++ b/test/support/fake_worker.ts
@@ -95,6 +95,7 @@
   private hasUnsentChange = false;
   private pushesHeldUp = false;
   private heldPushes: (() => void)[] = [];
+  private readonly executedPushes: Fields[] = [];
   /** The starts in the pushes that are held up, by their names on the wire. */
   readonly heldStarts = new Set<string>();
   /** Number of heartbeats that got a response with status 200. */
@@ -260,6 +261,13 @@
     for await (const part of request) parts.push(part as Buffer);
     const body = decodeCbor(Buffer.concat(parts)) as Fields;
     await this.waitWhileHeldUp(body.calls as Fields[]);
+    const executed = this.executePush(body);
+    if (executed) this.executedPushes.push(body);
+    return { status: executed ? 200 : 409, body: this.makeHeartbeat() };
+  }
+
+  /** Executes pushed commands if their fencing token and agent epoch allow it. Returns whether they were executed. */
+  private executePush(body: Fields): boolean {
     const fencingToken = BigInt(body.crest as number | bigint);
     const executed = fencingToken >= this.highestFencingToken && Number(body.roost) === this.agentEpoch;
     if (executed) {
@@ -267,7 +275,12 @@
       this.highestFencingToken = fencingToken;
       for (const command of body.calls as Fields[]) this.execute(command);
     }
-    return { status: executed ? 200 : 409, body: this.makeHeartbeat() };
+    return executed;
+  }
+
+  /** Delivers all pushes that were executed a second time. */
+  repeatPushes(): void {
+    for (const body of this.executedPushes) this.executePush(body);
   }
 
   private execute(command: Fields): void {
