--- a/test/sim/scenario/checks/controllers.ts
+++ b/test/sim/scenario/checks/controllers.ts
@@ -39,6 +39,12 @@
       ? null
       : `${world.stateStore.throttledCalls} state store calls throttled, expected at most ${wanted}`;
   },
+  /** cloud-throttled at-most N: the number of cloud calls that exceeded the rate and the burst that the cloud allows */
+  'cloud-throttled'(world, [, wanted]) {
+    return world.meters.throttledCloudCalls <= Number(wanted)
+      ? null
+      : `${world.meters.throttledCloudCalls} cloud calls exceeded its limit, expected at most ${wanted}`;
+  },
   /** delayed-writes at-least N: the number of transactions that were applied late */
   'delayed-writes'(world, [, wanted]) {
     return world.stateStore.delayedWritesApplied >= Number(wanted)
