Answers about one job are ordered by time: unfinished states leave early, final ones late

Cause: a confirmation says how things were between its sending and its reply, and answers expired 0.25 s after the reply. With slow replies the answer can be older than one that another controller gave meanwhile.

Change: answers about unfinished jobs expire 0.25 s after the sending of the call that confirmed them, also where a peer answers; a reply older than 0.2 s is not used and the state confirmed again, three times at most. A controller tells a final state from 0.3 s after it learned of it. Whoever learns of it does so after it was on record, so every older answer has left by then. No controller is asked for that.

A confirmed cancellation and the first `done` come up to 0.3 s later.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -5,14 +5,16 @@
 import { Election } from './leadership/election.js';
 import { Leader } from './leadership/leader.js';
 import { MachineTypeCatalog } from './machines/machine_type_catalog.js';
-import type { Input, Output, PeerMessage, RequestId, UserRequest, UserResponse } from './messages.js';
+import type { Input, Output, PeerMessage, RequestId, UserRequest } from './messages.js';
 import { CancellationBroadcasts } from './peers/cancellation_broadcasts.js';
 import { HeartbeatForwarding } from './peers/heartbeat_forwarding.js';
 import { MessageIds } from './peers/message_ids.js';
 import { PeerTable } from './peers/peer_table.js';
 import { RequestForwarding } from './peers/request_forwarding.js';
 import { StatusExchange } from './peers/status_exchange.js';
+import { FinalResponses } from './requests/final_responses.js';
 import { RequestHandler } from './requests/request_handler.js';
+import type { Respond } from './requests/responses.js';
 import type { Settings, Tuning } from './settings.js';
 import { StepContext } from './step_context.js';
 import type { Timer } from './timers.js';
@@ -41,6 +43,7 @@
   private readonly context: StepContext;
   private readonly election: Election;
   private readonly requestHandler: RequestHandler;
+  private readonly finalResponses: FinalResponses;
   private readonly jobCache: JobCache;
   private readonly catalog: MachineTypeCatalog;
   private readonly peers: PeerTable;
@@ -89,6 +92,7 @@
     );
     this.statusExchange = new StatusExchange(context, this.election, this.peers, this.heartbeatRouter);
     this.requestHandler = this.makeRequestHandler();
+    this.finalResponses = new FinalResponses(context, this.jobCache);
     this.statusTimer = context.timers.create(() => this.exchangeStatus());
   }
 
@@ -203,11 +207,11 @@
 
   private onUserRequest(requestId: RequestId, request: UserRequest): void {
     const deadline = this.context.after(request.op === 'query' ? STATUS_QUERY_TIMEOUT_MS : REQUEST_TIMEOUT_MS);
-    this.requestHandler.handle(
-      request,
-      (response) => this.context.outbox.respondToUser(requestId, response, deadline),
-      'user',
-    );
+    const respond: Respond = (response, asOf) =>
+      this.finalResponses.sendWhenFinal(response, () =>
+        this.context.outbox.respondToUser(requestId, response, deadline, asOf),
+      );
+    this.requestHandler.handle(request, respond, 'user');
   }
 
   /**
@@ -250,8 +254,10 @@
   }
 
   private onForwardedRequest(sender: ControllerName, { id, request }: PeerMessageOf<'request'>): void {
-    const respond = (response: UserResponse): void =>
-      this.context.outbox.sendToPeer(sender, { kind: 'requestResponse', id, response });
+    const respond: Respond = (response, asOf) =>
+      this.finalResponses.sendWhenFinal(response, () =>
+        this.context.outbox.sendToPeer(sender, { kind: 'requestResponse', id, response }, asOf),
+      );
     this.requestHandler.handle(request, respond, 'peer');
   }
 
--- a/src/core/jobs/job_cache.ts
+++ b/src/core/jobs/job_cache.ts
@@ -31,6 +31,8 @@
 export interface CachedJob {
   readonly record: JobRecord;
   readonly version: Revision;
+  /** When this controller learned of the version. */
+  readonly knownSince: MonotonicTime;
 }
 
 /** Called with whether a read of all records succeeded. */
@@ -207,7 +209,7 @@
       return null;
     }
     this.unreadableIds.delete(id);
-    const job = { record, version: item.version };
+    const job = { record, version: item.version, knownSince: this.context.now.monotonic };
     this.jobs.set(id, job);
     this.onRecord(job);
     return job;
--- a/src/core/outbox.ts
+++ b/src/core/outbox.ts
@@ -2,11 +2,9 @@
 import type { LeadershipValidity } from './leadership_validity.js';
 import { type FieldsOf, type LogEvent, logEntry } from './log_events.js';
 import type { HeartbeatResponse, Output, PeerMessage, RequestId, UserResponse } from './messages.js';
+import { UNFINISHED_STATE_VALID_MS } from './requests/state_validity.js';
 import type { StepClock } from './step_clock.js';
-import type { ControllerName, MonotonicTime } from './types.js';
-
-/** Time within which a response about an unfinished job must be sent. Later it is replaced by a refusal. */
-const UNFINISHED_JOB_RESPONSE_MS = 250;
+import { addMilliseconds, type ControllerName, type MonotonicTime } from './types.js';
 
 /** The expiry of an output. Null if it may be sent at any time. */
 type Expiry = { readonly expiresAt: MonotonicTime } | null;
@@ -37,19 +35,23 @@
     this.outputs.push({ kind: 'log', ...logEntry(event, fields) });
   }
 
-  sendToPeer(recipient: ControllerName, message: PeerMessage): void {
-    this.outputs.push({ kind: 'peerMessage', recipient, message, ...this.messageExpiry(message) });
+  /** Sends a message to a peer. `asOf`: when the call that confirmed a response to a user was sent. */
+  sendToPeer(recipient: ControllerName, message: PeerMessage, asOf?: MonotonicTime): void {
+    this.outputs.push({ kind: 'peerMessage', recipient, message, ...this.messageExpiry(message, asOf) });
   }
 
-  private messageExpiry(message: PeerMessage): Expiry {
-    if (message.kind === 'requestResponse') return this.userResponseExpiry(message.response);
+  private messageExpiry(message: PeerMessage, asOf?: MonotonicTime): Expiry {
+    if (message.kind === 'requestResponse') return this.userResponseExpiry(message.response, asOf);
     const renewsLease = message.kind === 'heartbeatResponse' && message.response.status === 200;
     return renewsLease ? this.leadership.expiry : null;
   }
 
-  /** Sends a response to a user. After `deadline`, the user no longer waits for it. */
-  respondToUser(requestId: RequestId, response: UserResponse, deadline: MonotonicTime): void {
-    const expiry = this.userResponseExpiry(response);
+  /**
+   * Sends a response to a user. After `deadline`, the user no longer waits for it. `asOf`: when the call that confirmed
+   * the response was sent, or the present if it is omitted.
+   */
+  respondToUser(requestId: RequestId, response: UserResponse, deadline: MonotonicTime, asOf?: MonotonicTime): void {
+    const expiry = this.userResponseExpiry(response, asOf);
     const expiresAt = expiry && (Math.min(expiry.expiresAt, deadline) as MonotonicTime);
     this.outputs.push({ kind: 'userResponse', requestId, response, ...(expiresAt ? { expiresAt } : {}) });
   }
@@ -58,10 +60,10 @@
    * A state that isn't final holds only for the moment at which it was confirmed, since another controller may cancel
    * the job. Responses with such a state expire soon.
    */
-  private userResponseExpiry(response: UserResponse): Expiry {
+  private userResponseExpiry(response: UserResponse, asOf: MonotonicTime = this.clock.now.monotonic): Expiry {
     const isUnfinished =
       'jobStatus' in response && (response.jobStatus === 'queued' || response.jobStatus === 'running');
-    return isUnfinished ? { expiresAt: this.clock.after(UNFINISHED_JOB_RESPONSE_MS) } : null;
+    return isUnfinished ? { expiresAt: addMilliseconds(asOf, UNFINISHED_STATE_VALID_MS) } : null;
   }
 
   /** Sends the response to a worker's heartbeat. */
--- a/src/core/requests/job_reader.ts
+++ b/src/core/requests/job_reader.ts
@@ -3,8 +3,9 @@
 import type { JobStatus, TaskCounts, UserResponse } from '../messages.js';
 import { type JobRecord, jobKey } from '../records.js';
 import type { StepContext } from '../step_context.js';
-import type { JobId } from '../types.js';
+import type { JobId, MonotonicTime } from '../types.js';
 import type { RequestContinuation } from './responses.js';
+import { MAX_CONFIRMATION_AGE_MS, MAX_CONFIRMATIONS } from './state_validity.js';
 
 const READ_PRIORITY = 2;
 const READ_OPTIONS = { timeoutMs: 1000, maxQueueTimeMs: 700, failFast: true } as const;
@@ -14,11 +15,14 @@
   readonly id: JobId;
   /** The response if the job does not exist. */
   readonly responseIfMissing: UserResponse;
+  /** How often the state has been confirmed too slowly to be sent. */
+  readonly slowConfirmations?: number;
 }
 
 /** Callbacks for the outcomes of a read, of which exactly one is called. */
 interface ReadContinuation {
-  readonly onFound: (job: CachedJob) => void;
+  /** `sentAt`: when the call was sent. The state may have changed since. */
+  readonly onFound: (job: CachedJob, sentAt: MonotonicTime) => void;
   readonly onMissing: () => void;
   /** The call to the state store failed, or the stored value could not be decoded. */
   readonly onUnavailable: () => void;
@@ -46,16 +50,37 @@
   }
 
   /** Reads the job's record from the state store and responds with its state. */
-  respond({ id, respond, responseIfMissing, onUnavailable }: StatusQuery): void {
+  respond(query: StatusQuery): void {
+    const { id, respond, responseIfMissing, onUnavailable } = query;
     this.read(id, {
-      onFound: ({ record }) => respond(this.statusResponse(record)),
+      onFound: ({ record }, sentAt) => {
+        const isOutdated = record.state === 'accepted' && this.isTooOld(sentAt);
+        if (isOutdated) this.confirmAgain(query, (again) => this.respond(again));
+        else respond(this.statusResponse(record), sentAt);
+      },
       onMissing: () => respond(responseIfMissing),
       onUnavailable,
     });
   }
 
+  /** Returns whether a confirmation that was sent at this time is too old for a response with an unfinished state. */
+  isTooOld(sentAt: MonotonicTime): boolean {
+    return this.context.now.monotonic - sentAt > MAX_CONFIRMATION_AGE_MS;
+  }
+
+  /** Calls `confirm` for a query whose state was confirmed too slowly, unless that has happened too often. */
+  confirmAgain(query: StatusQuery, confirm: (again: StatusQuery) => void): void {
+    const slowConfirmations = (query.slowConfirmations ?? 0) + 1;
+    if (slowConfirmations >= MAX_CONFIRMATIONS) query.onUnavailable();
+    else confirm({ ...query, slowConfirmations });
+  }
+
   /** Reads a job's record from the state store and updates the cache with it. */
   read(id: JobId, { onFound, onMissing, onUnavailable }: ReadContinuation): void {
+    let sentAt = this.context.now.monotonic;
+    const onSend = (at: MonotonicTime): void => {
+      sentAt = at;
+    };
     this.context.stateStore.call(
       { op: 'get', key: jobKey(id) },
       READ_PRIORITY,
@@ -63,10 +88,10 @@
         if (!result.ok) return onUnavailable();
         if (!result.value.item) return onMissing();
         const job = this.jobCache.update(result.value.item);
-        if (job) onFound(job);
+        if (job) onFound(job, sentAt);
         else onUnavailable();
       },
-      READ_OPTIONS,
+      { ...READ_OPTIONS, onSend },
     );
   }
 }
--- a/src/core/requests/job_submission.ts
+++ b/src/core/requests/job_submission.ts
@@ -4,7 +4,7 @@
 import type { StateStoreResultOf } from '../messages.js';
 import { encodeJob, type JobRecord, jobKey } from '../records.js';
 import type { StepContext } from '../step_context.js';
-import { ABSENT_VERSION, type JobId, type JobSpec } from '../types.js';
+import { ABSENT_VERSION, type JobId, type JobSpec, type MonotonicTime } from '../types.js';
 import type { JobReader } from './job_reader.js';
 import { type RequestContinuation, STATE_STORE_UNAVAILABLE } from './responses.js';
 
@@ -44,22 +44,30 @@
   private write(entry: NewEntry, continuation: RequestContinuation): void {
     const conditions = [{ key: entry.key, version: ABSENT_VERSION }];
     const changes = [{ put: entry.key, value: entry.value }];
+    let sentAt = this.context.now.monotonic;
+    const onSend = (at: MonotonicTime): void => {
+      sentAt = at;
+    };
     this.context.stateStore.call(
       { op: 'compareAndSwap', conditions, changes },
       WRITE_PRIORITY,
-      (result) => this.onResult(entry, result, continuation),
-      WRITE_OPTIONS,
+      (result) => this.onResult(entry, result, sentAt, continuation),
+      { ...WRITE_OPTIONS, onSend },
     );
   }
 
   private onResult(
     { id, key, value }: NewEntry,
     result: StateStoreResultOf<'compareAndSwap'>,
+    sentAt: MonotonicTime,
     continuation: RequestContinuation,
   ): void {
     if (result.ok) {
       this.jobCache.update({ key, value, version: result.value.revision });
-      continuation.respond({ status: 201, id, jobStatus: 'queued', done: 0, running: 0 });
+      // The job may have been cancelled through another controller since it was written.
+      if (this.reader.isTooOld(sentAt))
+        this.reader.respond({ id, responseIfMissing: STATE_STORE_UNAVAILABLE, ...continuation });
+      else continuation.respond({ status: 201, id, jobStatus: 'queued', done: 0, running: 0 }, sentAt);
       return;
     }
     switch (result.error.code) {
--- a/src/core/requests/linearizable_reads.ts
+++ b/src/core/requests/linearizable_reads.ts
@@ -4,7 +4,7 @@
 import { JOB_PREFIX, jobKey } from '../records.js';
 import type { StepContext } from '../step_context.js';
 import type { Timer } from '../timers.js';
-import type { JobId } from '../types.js';
+import type { JobId, MonotonicTime } from '../types.js';
 import type { JobReader, StatusQuery } from './job_reader.js';
 
 /** How long queries are collected before one call confirms them together. Users wait 2 s for a response. */
@@ -61,6 +61,10 @@
     if (this.waiting.length > 0) this.batchTimer.set(this.context.after(NEXT_BATCH_MS));
     if (batch.size === 0) return;
     this.inFlight += 1;
+    let sentAt = this.context.now.monotonic;
+    const onSend = (at: MonotonicTime): void => {
+      sentAt = at;
+    };
     const conditions = [...batch].map(([id, { job }]) => ({ key: jobKey(id), version: job.version }));
     this.context.stateStore.call(
       { op: 'compareAndSwap', conditions, changes: [] },
@@ -68,9 +72,9 @@
       (result) => {
         this.inFlight -= 1;
         if (this.waiting.length > 0) this.schedule(NEXT_BATCH_MS);
-        this.onResult(batch, result);
+        this.onResult(batch, result, sentAt);
       },
-      CONFIRM_OPTIONS,
+      { ...CONFIRM_OPTIONS, onSend },
     );
   }
 
@@ -95,9 +99,13 @@
     return batch;
   }
 
-  private onResult(batch: ReadonlyMap<JobId, BatchedJob>, result: StateStoreResultOf<'compareAndSwap'>): void {
+  private onResult(
+    batch: ReadonlyMap<JobId, BatchedJob>,
+    result: StateStoreResultOf<'compareAndSwap'>,
+    sentAt: MonotonicTime,
+  ): void {
     if (result.ok) {
-      this.respondConfirmed(batch);
+      this.onConfirmed(batch, sentAt);
     } else if (result.error.code === 'conflict') {
       this.resolveConflict(batch, new Set(result.error.keys));
     } else {
@@ -105,9 +113,13 @@
     }
   }
 
-  private respondConfirmed(batch: ReadonlyMap<JobId, BatchedJob>): void {
+  private onConfirmed(batch: ReadonlyMap<JobId, BatchedJob>, sentAt: MonotonicTime): void {
+    const isTooOld = this.reader.isTooOld(sentAt);
     for (const { job, queries } of batch.values()) {
-      for (const query of queries) query.respond(this.reader.statusResponse(job.record));
+      for (const query of queries) {
+        if (isTooOld) this.reader.confirmAgain(query, (again) => this.enqueue(again));
+        else query.respond(this.reader.statusResponse(job.record), sentAt);
+      }
     }
   }
 
--- a/src/core/requests/request_handler.ts
+++ b/src/core/requests/request_handler.ts
@@ -121,9 +121,12 @@
    * repeated submission of an accepted job gets a response with the state of the job.
    */
   private forward(request: UserRequest, submission: Submission | null, respond: Respond): boolean {
-    if (submission?.kind !== 'refused') return this.dependencies.forward(request, respond);
+    // The peer confirms its response after the request was forwarded.
+    const forwardedAt = this.context.now.monotonic;
+    if (submission?.kind !== 'refused')
+      return this.dependencies.forward(request, (response) => respond(response, forwardedAt));
     return this.dependencies.forward({ op: 'query', id: request.id }, (found) =>
-      respond(found.status === 404 ? submission.response : found),
+      respond(found.status === 404 ? submission.response : found, forwardedAt),
     );
   }
 
--- a/src/core/requests/responses.ts
+++ b/src/core/requests/responses.ts
@@ -1,8 +1,12 @@
 /** Continuations and common responses of user requests. */
 import type { UserResponse } from '../messages.js';
+import type { MonotonicTime } from '../types.js';
 
-/** Sends the response to a request. It is called once. */
-export type Respond = (response: UserResponse) => void;
+/**
+ * Sends the response to a request. It is called once. `asOf` is the time at which the call that confirmed the response
+ * was sent, or the present if it is omitted.
+ */
+export type Respond = (response: UserResponse, asOf?: MonotonicTime) => void;
 
 /** Callbacks for the outcomes of a request, of which exactly one is called. */
 export interface RequestContinuation {
