After a change of leader, tasks not yet located count in the zones in which they may be

Cause: the zone of a located task that starts again was chosen from known placements alone.

Change: recovery says in which zones tasks not yet located may be, from uncertain machines and from the zones on record. A job bound to one zone without a placed task starts only where all of them are, and waits while that is not certain; a spread job's allowance is less by them. One function says a bound job's zone for plans, starts and preemption, where three places did.

--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -33,7 +33,8 @@
   private firstStartZone: ZoneName | null;
   private possibleStartZones: Set<ZoneName> | null = null;
   private isGangBroken = false;
-  private mayRunOnUnreconciledMachine = false;
+  /** Zones in which tasks that have not been located may be on unreconciled machines. Null if any zone is possible. */
+  private unlocatedTaskZones: ReadonlySet<ZoneName> | null = new Set();
   /** Number of machines that report each task as an unexpected task (state/unexpected_tasks.ts). Zeros are omitted. */
   private readonly unexpectedTasks = new Map<number, number>();
   private readonly placedTasks = new Set<number>();
@@ -281,11 +282,26 @@
   // ---- after a failover
 
   /**
-   * Sets whether tasks of the job may be on unreconciled machines. While they may, only tasks that have been located
-   * may be started.
+   * Sets the zones in which tasks of the job may be on unreconciled machines: none if it is empty, any if it is null.
+   * While there are any, only tasks that have been located may be started.
    */
-  setMayRunOnUnreconciledMachine(mayRun: boolean): void {
-    this.mayRunOnUnreconciledMachine = mayRun;
+  setUnlocatedTaskZones(zones: ReadonlySet<ZoneName> | null): void {
+    this.unlocatedTaskZones = zones;
+  }
+
+  private get mayRunOnUnreconciledMachine(): boolean {
+    return this.unlocatedTaskZones === null || this.unlocatedTaskZones.size > 0;
+  }
+
+  /** Returns how many tasks that have not been located may be on unreconciled machines of the zone. */
+  unlocatedCountIn(zone: ZoneName): number {
+    const mayBeThere = this.unlocatedTaskZones === null || this.unlocatedTaskZones.has(zone);
+    return mayBeThere ? this.unaccountedCount : 0;
+  }
+
+  /** The zones in which tasks that have not been located may be: none if it is empty, any if it is null. */
+  get zonesOfUnlocatedTasks(): ReadonlySet<ZoneName> | null {
+    return this.unlocatedTaskZones;
   }
 
   /** Number of tasks that this leader cannot account for, because they are neither done nor located. */
--- a/src/core/scheduler/placement_constraints.ts
+++ b/src/core/scheduler/placement_constraints.ts
@@ -6,7 +6,7 @@
 import type { Machine } from '../machines/machine.js';
 import type { MachineType, ZoneName } from '../types.js';
 import type { ClusterState } from './cluster_state.js';
-import { maxTasksPerZone } from './zone_allowance.js';
+import { hasZoneAllowance, zoneAllowance } from './zone_allowance.js';
 
 /**
  * Returns whether a job allows machines of a type in a zone, and one of its tasks fits an empty machine of that type
@@ -57,14 +57,25 @@
  */
 export function canPlaceTask(cluster: ClusterState, job: Job, machine: Machine): boolean {
   if (!isFeasibleNow(cluster, job, machine) || cluster.quotas.remainingTasks(job.spec) < 1) return false;
-  if (job.spec.singleZone && !runsOnlyInZone(cluster, job, machine.zone)) return false;
-  return (
-    !job.spec.zoneSpread || (cluster.placements.taskCountByZone(job).get(machine.zone) ?? 0) < maxTasksPerZone(job)
-  );
+  if (!isInBoundZone(cluster, job, machine.zone)) return false;
+  return hasZoneAllowance(zoneAllowance(cluster, job), machine.zone, job);
+}
+
+/** Returns whether a single-zone job with tasks on machines has them in this zone. Also true for all other jobs. */
+export function isInBoundZone(cluster: ClusterState, job: Job, zone: ZoneName): boolean {
+  return zonesOfSingleZoneJob(cluster, job)?.includes(zone) ?? true;
 }
 
-/** Returns whether all placed tasks of the job are in the zone. Also true if the job has no placed tasks. */
-export function runsOnlyInZone({ placements }: ClusterState, job: Job, zone: ZoneName): boolean {
-  for (const { machine } of placements.ofJob(job).values()) if (machine.zone !== zone) return false;
-  return true;
+/**
+ * Returns the zone in which all tasks of a single-zone job that are on machines must be. Null if the job has no such
+ * tasks or no such constraint. A placed task shows the zone of all others. Without one, tasks that have not been located
+ * after a failover may be on machines. If they may be in several zones, the job can't be placed yet and the result is
+ * empty.
+ */
+export function zonesOfSingleZoneJob({ placements }: ClusterState, job: Job): readonly ZoneName[] | null {
+  if (!job.spec.singleZone) return null;
+  for (const { machine } of placements.ofJob(job).values()) return [machine.zone];
+  const zones = job.zonesOfUnlocatedTasks;
+  if (zones === null || zones.size > 1) return [];
+  return zones.size === 1 ? [...zones] : null;
 }
--- a/src/core/scheduler/plan_input.ts
+++ b/src/core/scheduler/plan_input.ts
@@ -7,7 +7,7 @@
 import type { ClusterState } from './cluster_state.js';
 import { gpuClaims } from './gpu_claims.js';
 import { planMachine } from './machine_snapshot.js';
-import { fitsTypesWithoutGpus, isFeasibleType } from './placement_constraints.js';
+import { fitsTypesWithoutGpus, isFeasibleType, zonesOfSingleZoneJob } from './placement_constraints.js';
 import type { PlanJob, PlanMachine } from './plan_types.js';
 import { priorityWeight } from './priority.js';
 import type { RankedJob } from './ranking.js';
@@ -79,13 +79,12 @@
 
   /**
    * Returns the feasible cluster set of Section III-B2 of the EVO-GP paper. These are the zones with machines for the
-   * job or, if there are none, the zones where such a machine could be provisioned. A single-zone job with placed tasks
-   * has only their zone.
+   * job or, if there are none, the zones where such a machine could be provisioned. A single-zone job with tasks on
+   * machines has only their zone, or none while that is not certain.
    */
-  private feasibleZones(job: Job): ZoneName[] {
-    if (job.spec.singleZone) {
-      for (const { machine } of this.cluster.placements.ofJob(job).values()) return [machine.zone];
-    }
+  private feasibleZones(job: Job): readonly ZoneName[] {
+    const boundZones = zonesOfSingleZoneJob(this.cluster, job);
+    if (boundZones !== null) return boundZones;
     const present = this.poolRepresentatives
       .filter(({ type, zone, spot }) => (job.spec.toleratesSpot || !spot) && isFeasibleType(job, type, zone))
       .map(({ zone }) => zone);
@@ -99,7 +98,11 @@
     );
   }
 
-  private planJob({ job, tasks, waitedSeconds }: WaitingJob, feasibleZones: ZoneName[], index: number): PlanJob {
+  private planJob(
+    { job, tasks, waitedSeconds }: WaitingJob,
+    feasibleZones: readonly ZoneName[],
+    index: number,
+  ): PlanJob {
     const { spec } = job;
     const { runtimeEstimator, context } = this.cluster;
     const durationSeconds = runtimeEstimator.expectedSeconds(spec);
@@ -120,7 +123,7 @@
       singleZone: spec.singleZone,
       zoneAllowance: zoneAllowance(this.cluster, job),
       feasibleZones,
-      requiredZone: requiredZone(job, feasibleZones),
+      requiredZone: spec.zone ?? zonesOfSingleZoneJob(this.cluster, job)?.[0] ?? null,
       priorityWeight: priorityWeight(spec.priorityLevel, context.tuning.scheduler.priority_base),
       waitedSeconds,
       penaltyFactor: penaltyFactor(this.cluster, job),
@@ -144,12 +147,6 @@
   }
 }
 
-/** Returns the zone that the job requests, or the zone with the placed tasks of a single-zone job, or null. */
-function requiredZone({ spec, placedCount }: Job, feasibleZones: readonly ZoneName[]): ZoneName | null {
-  const hasBegunInZone = spec.singleZone && placedCount > 0;
-  return spec.zone ?? (hasBegunInZone ? (feasibleZones[0] as ZoneName) : null);
-}
-
 /** Returns one representative machine for each combination of type, zone, and spot or on demand. */
 function onePerCapacityPool(machines: readonly PlanMachine[]): PlanMachine[] {
   const byPool = new Map<string, PlanMachine>();
--- a/src/core/scheduler/service_placement.ts
+++ b/src/core/scheduler/service_placement.ts
@@ -5,7 +5,7 @@
 import type { ClusterState, SchedulableCluster } from './cluster_state.js';
 import type { Eviction } from './decisions.js';
 import { findEviction, PREEMPTION_RESERVATION_MS } from './eviction.js';
-import { canPlaceTask, fitsTypesWithoutGpus, runsOnlyInZone } from './placement_constraints.js';
+import { canPlaceTask, fitsTypesWithoutGpus, isInBoundZone } from './placement_constraints.js';
 import { bestFitMachine, gpuMachineCheck, isAvailableTo, leavesGpusUnused } from './replica_placement.js';
 import { waitingServices } from './waiting_services.js';
 import { useZoneAllowance, type ZoneAllowance, zoneAllowance } from './zone_allowance.js';
@@ -101,5 +101,5 @@
 function mayPreemptOn(cluster: ClusterState, job: Job, machine: Machine, allowance: ZoneAllowance): boolean {
   if (machine.reservedFor(cluster.context.now.monotonic) !== null) return false;
   if (!isAvailableTo(cluster, job, machine, allowance)) return false;
-  return !job.spec.singleZone || runsOnlyInZone(cluster, job, machine.zone);
+  return isInBoundZone(cluster, job, machine.zone);
 }
--- a/src/core/scheduler/zone_allowance.ts
+++ b/src/core/scheduler/zone_allowance.ts
@@ -4,18 +4,22 @@
 import type { ClusterState } from './cluster_state.js';
 
 /** Returns the maximum number of the job's tasks in one zone, which is half of them (rounded up) with a zone spread. */
-export const maxTasksPerZone = ({ spec: { taskCount, zoneSpread } }: Job): number =>
+const maxTasksPerZone = ({ spec: { taskCount, zoneSpread } }: Job): number =>
   zoneSpread ? Math.ceil(taskCount / 2) : taskCount;
 
 /** Number of additional tasks allowed in each zone. Null if the job has no zone spread and thus no such limit. */
 export type ZoneAllowance = Map<ZoneName, number> | null;
 
-/** Returns how many tasks each zone allows now in addition to the job's tasks that are placed there. */
+/**
+ * Returns how many tasks each zone allows now in addition to the job's tasks that are placed there, or that have not
+ * been located after a failover and may be there.
+ */
 export function zoneAllowance({ context, placements }: ClusterState, job: Job): ZoneAllowance {
   if (!job.spec.zoneSpread) return null;
   const counts = placements.taskCountByZone(job);
   const { zones } = context.settings;
-  return new Map(zones.map((zone) => [zone, Math.max(0, maxTasksPerZone(job) - (counts.get(zone) ?? 0))]));
+  const free = (zone: ZoneName): number => maxTasksPerZone(job) - (counts.get(zone) ?? 0) - job.unlocatedCountIn(zone);
+  return new Map(zones.map((zone) => [zone, Math.max(0, free(zone))]));
 }
 
 /** Returns whether the zone allows one more task of the job. */
--- a/src/core/state/previous_terms.ts
+++ b/src/core/state/previous_terms.ts
@@ -34,6 +34,8 @@
 /** Assumed while there may be unregistered machines with unknown tasks. Teams with a limit then get no new tasks. */
 const UNKNOWN_CAPACITY = { cpus: Number.POSITIVE_INFINITY, gpus: Number.POSITIVE_INFINITY };
 
+const NO_ZONES: ReadonlySet<ZoneName> = new Set();
+
 /** What `PreviousTerms` needs to know of this leader's term and state. */
 export interface PreviousTermsInit {
   /** The term of this leader. */
@@ -197,13 +199,19 @@
   // ---- starts
 
   /**
-   * Updates whether tasks of the job may be on unreconciled machines. Returns how many of its tasks may be placed now.
+   * Updates in which zones tasks of the job may be on unreconciled machines. Returns how many of its tasks may be placed
+   * now.
    */
   startableTaskCount(job: Job): number {
-    job.setMayRunOnUnreconciledMachine(this.mayRunOnUnreconciledMachine(job));
+    job.setUnlocatedTaskZones(this.zonesOfUnlocatedTasks(job));
     return job.startableCount;
   }
 
+  private zonesOfUnlocatedTasks(job: Job): ReadonlySet<ZoneName> | null {
+    if (!this.mayRunOnUnreconciledMachine(job)) return NO_ZONES;
+    return this.recovery?.zonesOfUnlocatedTasks(toPreviousTermJob(job), this.context.now.monotonic) ?? null;
+  }
+
   /** Returns whether tasks of the job may be on an unreconciled machine. */
   mayRunOnUnreconciledMachine(job: Job): boolean {
     if (!this.isFromPreviousTerm(job)) return false;
--- a/src/recovery/recovery.ts
+++ b/src/recovery/recovery.ts
@@ -1,5 +1,5 @@
 /** Tracks what a leader knows, from its election on, about the state that previous terms left. */
-import type { JobId, MachineId, MonotonicTime } from '../core/types.js';
+import type { JobId, MachineId, MonotonicTime, ZoneName } from '../core/types.js';
 import { OrphanTracker } from './orphan_tracker.js';
 import { type RecoverySummary, zeroReconciledByCounts, zeroTaskCounts } from './summary.js';
 import { type TeamExposure, teamExposure } from './team_exposure.js';
@@ -99,6 +99,14 @@
     return this.unreconciled.isFeasible(job, now);
   }
 
+  /**
+   * Returns the zones in which tasks of the job that have not been found may be. Empty if there are no such tasks, null
+   * if they may be in any zone.
+   */
+  zonesOfUnlocatedTasks(job: PreviousTermJob, now: MonotonicTime): ReadonlySet<ZoneName> | null {
+    return this.mayRunOnUnreconciledMachine(job, now) ? this.unreconciled.feasibleZones(job, now) : new Set();
+  }
+
   /** Returns the capacity of the unreconciled machines, or null if there may be unregistered machines too. */
   unreconciledCapacity(now: MonotonicTime): Capacity | null {
     return this.unreconciled.capacity(now);
--- a/src/recovery/unreconciled_machines.ts
+++ b/src/recovery/unreconciled_machines.ts
@@ -1,5 +1,5 @@
 /** Tracks the registered machines that have yet to be reconciled, grouped by the properties that jobs can constrain. */
-import type { MachineId, MonotonicTime } from '../core/types.js';
+import type { MachineId, MonotonicTime, ZoneName } from '../core/types.js';
 import type { PreviousTermJob, UnreconciledMachine } from './types.js';
 
 /** The CPUs and GPUs of machines that may hold unknown tasks. */
@@ -86,13 +86,22 @@
   /** Returns whether a task of the job could be on an unreconciled machine. */
   isFeasible(job: PreviousTermJob, now: MonotonicTime): boolean {
     if (this.mayHaveUnregistered(now)) return true;
-    for (const { sample } of this.groups.values()) {
-      const { type, zone, spot } = sample;
-      if (job.allowedMachineTypes !== null && !job.allowedMachineTypes.includes(type)) continue;
-      if (job.zone !== null && job.zone !== zone) continue;
-      if (spot && !job.toleratesSpot) continue;
-      if (job.startZones === null || job.startZones.has(zone)) return true;
-    }
+    for (const { sample } of this.groups.values()) if (isFeasibleOn(job, sample)) return true;
     return false;
   }
+
+  /** Returns the zones of the unreconciled machines on which a task of the job could be. Null if it may be in any zone. */
+  feasibleZones(job: PreviousTermJob, now: MonotonicTime): ReadonlySet<ZoneName> | null {
+    if (this.mayHaveUnregistered(now)) return null;
+    const zones = new Set<ZoneName>();
+    for (const { sample } of this.groups.values()) if (isFeasibleOn(job, sample)) zones.add(sample.zone);
+    return zones;
+  }
+}
+
+function isFeasibleOn(job: PreviousTermJob, { type, zone, spot }: UnreconciledMachine): boolean {
+  if (job.allowedMachineTypes !== null && !job.allowedMachineTypes.includes(type)) return false;
+  if (job.zone !== null && job.zone !== zone) return false;
+  if (spot && !job.toleratesSpot) return false;
+  return job.startZones === null || job.startZones.has(zone);
 }
