--- a/test/property.test.ts
+++ b/test/property.test.ts
@@ -18,6 +18,8 @@
  */
 
 const FAULTS_SECONDS = 260;
+/** When all services that still run are cancelled, long after the faults. */
+const SERVICES_END_SECONDS = FAULTS_SECONDS + 150;
 /** Time after FAULTS_SECONDS in which all work must end. */
 const QUIET_SECONDS = 420;
 
@@ -73,11 +75,20 @@
   for (let i = 0; i < 2; i++) addFaultyJob(world, i, clock.randomBetween(1, FAULTS_SECONDS * 0.6));
   if (seed % 10 === 0) addHugeArray(world, clock.randomBetween(5, FAULTS_SECONDS * 0.5));
   injectRandomFaults(world, FAULTS_SECONDS);
+  clock.schedule(SERVICES_END_SECONDS * 1000, () => repeatUnconfirmedCancellations(world));
   clock.runUntil((FAULTS_SECONDS + QUIET_SECONDS) * 1000);
   world.trace?.end(`day-${seed}`);
   return world;
 }
 
+/** Cancels services again whose users gave up after a minute without a confirmation, as in a long outage. */
+function repeatUnconfirmedCancellations({ invariants, users }: World): void {
+  for (const [id, { kind }] of invariants.submitted) {
+    const isUnconfirmed = invariants.cancellationRequested.has(id) && !invariants.finalStateOf(id);
+    if (kind === 'service' && isUnconfirmed && invariants.isAccepted(id)) users.cancel(id);
+  }
+}
+
 /** Upgrades the controllers to the current version, one after the other in random order. */
 function scheduleRollingUpgrade(world: World): void {
   const { clock } = world;
@@ -176,14 +187,9 @@
   if (clock.randomBetween(0, 1) < 0.4) options.zoneSpread = 'yes';
   const spec = { ...makeJobSpec(`job-${200 + i}`, 'service', options), image: `img-${i % 4}` as ImageName };
   clock.schedule(atS * 1000, () => world.users.submit(spec, 1e9));
-  clock.schedule((FAULTS_SECONDS + 150) * 1000, () => {
+  clock.schedule(SERVICES_END_SECONDS * 1000, () => {
     // A service that was not accepted because of an outage need not run.
-    if (!world.invariants.isAccepted(spec.id)) return;
-    if (world.invariants.cancellationRequested.has(spec.id)) {
-      // In a long outage, its user gave up after a minute without a confirmation.
-      if (!world.invariants.finalStateOf(spec.id)) world.users.cancel(spec.id);
-      return;
-    }
+    if (!world.invariants.isAccepted(spec.id) || world.invariants.cancellationRequested.has(spec.id)) return;
     availabilityAtEnd.set(world, [
       ...(availabilityAtEnd.get(world) ?? []),
       `${spec.id} ${world.availability.latestRunningShare(spec.id)}`,
--- a/test/sim/random_faults.ts
+++ b/test/sim/random_faults.ts
@@ -110,9 +110,19 @@
   ];
 }
 
-/** Faults that the old versions cannot handle: their leaders drop machines of an unlisted type from the registry. */
+/**
+ * Faults that the old versions cannot handle: their leaders drop machines of an unlisted type from the registry, and
+ * keep pushed starts valid after their tasks are no longer wanted.
+ */
 function currentVersionChoices(world: World): FaultChoice[] {
   if (world.options.oldVersions) return [];
   const { clock } = world;
-  return [['unlist-type', () => [clock.pickRandom(['c8', 'g4']), String(clock.randomBetween(20, 100))]]];
+  const secs = (low: number, high: number): string => String(clock.randomBetween(low, high));
+  const machines = clock.pickRandom([...world.workers.keys(), 'all', 'all', 'some:3']);
+  return [
+    ['unlist-type', () => [clock.pickRandom(['c8', 'g4']), secs(20, 100)]],
+    ['hold-pushes', () => [machines, secs(5, 90)]],
+    ['duplicate-pushes', () => [secs(20, 90)]],
+    ['cancel-held-starts', () => [machines, clock.pickRandom(['3', '8']), secs(45, 80)]],
+  ];
 }
