The state store client passes on when a call was sent; locations and push faults in modules of their own

Cause: six callers kept the time of sending in a closure of the same shape; Job had grown by what belongs to its located tasks, and the stand-in worker of the process tests by its faults.

Change: results come with the time at which their call was sent, the option onSend is gone. LocatedTasks holds the zones of tasks not located, PushFaults what holds up and repeats pushes. No behaviour changes.

--- a/src/core/clients/state_store_client.ts
+++ b/src/core/clients/state_store_client.ts
@@ -31,14 +31,22 @@
    * result.
    */
   readonly failFast?: boolean;
-  /** Called when the call is sent. */
-  readonly onSend?: (at: MonotonicTime) => void;
 }
 
+/**
+ * Called with the result of a call, and with the time at which the call was sent or refused. The state store handled the
+ * call at some time between the two.
+ */
+type OnStateStoreResult<Op extends StateStoreOperationName> = (
+  result: StateStoreResultOf<Op>,
+  sentAt: MonotonicTime,
+) => void;
+
 /** A call that was sent and awaits its reply. */
 interface SentCall {
   /** Called with a result of the call's operation type, as the codec decodes each reply according to its operation. */
-  readonly onResult: (result: StateStoreResultOf<never>) => void;
+  readonly onResult: OnStateStoreResult<never>;
+  readonly sentAt: MonotonicTime;
   readonly isWrite: boolean;
 }
 
@@ -138,24 +146,19 @@
   call<Op extends StateStoreOperationName>(
     operation: StateStoreOperation & { readonly op: Op },
     priority: CallPriority,
-    onResult: (result: StateStoreResultOf<Op>) => void,
+    onResult: OnStateStoreResult<Op>,
     options: StateStoreCallOptions = {},
   ): void {
-    const {
-      timeoutMs = DEFAULT_TIMEOUT_MS,
-      maxQueueTimeMs = DEFAULT_MAX_QUEUE_TIME_MS,
-      failFast = false,
-      onSend,
-    } = options;
+    const { timeoutMs = DEFAULT_TIMEOUT_MS, maxQueueTimeMs = DEFAULT_MAX_QUEUE_TIME_MS, failFast = false } = options;
     const queued: QueuedCall = {
       writeTokens: writeTokensOf(operation),
       expiresAt: this.clock.after(maxQueueTimeMs),
       send: () => {
-        const callId = this.openCalls.add({ onResult, isWrite: writeTokensOf(operation) > 0 });
-        onSend?.(this.clock.now.monotonic);
+        const sentAt = this.clock.now.monotonic;
+        const callId = this.openCalls.add({ onResult, sentAt, isWrite: writeTokensOf(operation) > 0 });
         this.outbox.push({ kind: 'stateStoreCall', callId, operation, timeoutMs });
       },
-      refuse: () => onResult(NOT_SENT),
+      refuse: () => onResult(NOT_SENT, this.clock.now.monotonic),
     };
     if (failFast) this.queue.addOrRefuse(priority, queued, this.clock.now.monotonic);
     else this.queue.add(priority, queued);
@@ -173,7 +176,7 @@
     if (!result.ok && result.error.code === 'throttled') this.onThrottled(sent.isWrite);
     this.trackHealth(result);
     this.trackRevision(result);
-    sent.onResult(result as StateStoreResultOf<never>);
+    sent.onResult(result as StateStoreResultOf<never>, sent.sentAt);
   }
 
   private trackHealth(result: StateStoreResult): void {
--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -33,8 +33,6 @@
   private firstStartZone: ZoneName | null;
   private possibleStartZones: Set<ZoneName> | null = null;
   private isGangBroken = false;
-  /** Zones in which tasks that have not been located may be on unreconciled machines. Null if any zone is possible. */
-  private unlocatedTaskZones: ReadonlySet<ZoneName> | null = new Set();
   /** Number of machines that report each task as an unexpected task (state/unexpected_tasks.ts). Zeros are omitted. */
   private readonly unexpectedTasks = new Map<number, number>();
   private readonly placedTasks = new Set<number>();
@@ -235,9 +233,10 @@
   /** Number of tasks that need a placement and may get one now. */
   get startableCount(): number {
     const pending = this.pendingCount;
-    if (pending === 0 || (!this.mayRunOnUnreconciledMachine && this.unexpectedTasks.size === 0)) return pending;
+    const { mayHaveUnlocatedTasks } = this.locatedTasks;
+    if (pending === 0 || (!mayHaveUnlocatedTasks && this.unexpectedTasks.size === 0)) return pending;
     if (this.isGang) return 0;
-    if (this.mayRunOnUnreconciledMachine) return this.locatedPendingCount;
+    if (mayHaveUnlocatedTasks) return this.locatedPendingCount;
     return pending - [...this.unexpectedTasks.keys()].filter((index) => this.isPending(index)).length;
   }
 
@@ -257,7 +256,7 @@
 
   private isStartable(index: number): boolean {
     if (!this.isPending(index) || this.unexpectedTasks.has(index)) return false;
-    return !this.mayRunOnUnreconciledMachine || this.locatedTasks.has(index);
+    return !this.locatedTasks.mayHaveUnlocatedTasks || this.locatedTasks.has(index);
   }
 
   private advanceFirstPossiblyPending(index: number): void {
@@ -281,27 +280,9 @@
 
   // ---- after a failover
 
-  /**
-   * Sets the zones in which tasks of the job may be on unreconciled machines: none if it is empty, any if it is null.
-   * While there are any, only tasks that have been located may be started.
-   */
-  setUnlocatedTaskZones(zones: ReadonlySet<ZoneName> | null): void {
-    this.unlocatedTaskZones = zones;
-  }
-
-  private get mayRunOnUnreconciledMachine(): boolean {
-    return this.unlocatedTaskZones === null || this.unlocatedTaskZones.size > 0;
-  }
-
   /** Returns how many tasks that have not been located may be on unreconciled machines of the zone. */
   unlocatedCountIn(zone: ZoneName): number {
-    const mayBeThere = this.unlocatedTaskZones === null || this.unlocatedTaskZones.has(zone);
-    return mayBeThere ? this.unaccountedCount : 0;
-  }
-
-  /** The zones in which tasks that have not been located may be: none if it is empty, any if it is null. */
-  get zonesOfUnlocatedTasks(): ReadonlySet<ZoneName> | null {
-    return this.unlocatedTaskZones;
+    return this.locatedTasks.mayHaveUnlocatedTaskIn(zone) ? this.unaccountedCount : 0;
   }
 
   /** Number of tasks that this leader cannot account for, because they are neither done nor located. */
--- a/src/core/jobs/job_cache.ts
+++ b/src/core/jobs/job_cache.ts
@@ -151,8 +151,7 @@
     if (this.watchInFlight) return;
     this.watchInFlight = true;
     const waitMs = this.isLeader ? this.leaderWatchWaitMs : FOLLOWER_WATCH_WAIT_MS;
-    let sentAt = this.context.now.monotonic;
-    const onResult = (result: StateStoreResultOf<'watch'>): void => {
+    const onResult = (result: StateStoreResultOf<'watch'>, sentAt: MonotonicTime): void => {
       this.watchInFlight = false;
       if (result.ok) this.onWatchResponse(result.value, sentAt, waitMs);
       else this.onWatchFailed(result.error.code === 'gone');
@@ -160,9 +159,6 @@
     this.context.stateStore.call({ op: 'watch', prefix: JOB_PREFIX, after, waitMs }, 1, onResult, {
       timeoutMs: waitMs + WATCH_TIMEOUT_MARGIN_MS,
       maxQueueTimeMs: MAX_WATCH_QUEUE_TIME_MS,
-      onSend: (at) => {
-        sentAt = at;
-      },
     });
   }
 
--- a/src/core/jobs/located_tasks.ts
+++ b/src/core/jobs/located_tasks.ts
@@ -1,5 +1,5 @@
 /** Tracks which tasks of a job this leader has located, and how their attempts of previous terms ended. */
-import type { Attempt, MachineId } from '../types.js';
+import type { Attempt, MachineId, ZoneName } from '../types.js';
 
 /** Evidence that a task is no longer on a machine, or never was. */
 export type ReleaseReason =
@@ -35,6 +35,31 @@
   /** The latest release of each task. Holds only attempts of previous terms, until the task is started again. */
   private readonly releases = new Map<number, TaskRelease>();
 
+  private zonesOfUnlocated: ReadonlySet<ZoneName> | null = new Set();
+
+  /**
+   * Zones in which tasks that have not been located may be on unreconciled machines: none if it is empty, any if it is
+   * null.
+   */
+  get unlocatedTaskZones(): ReadonlySet<ZoneName> | null {
+    return this.zonesOfUnlocated;
+  }
+
+  /** Sets the zones in which tasks that have not been located may be. */
+  setUnlocatedTaskZones(zones: ReadonlySet<ZoneName> | null): void {
+    this.zonesOfUnlocated = zones;
+  }
+
+  /** Whether tasks that have not been located may be on machines. Only tasks that have been located may be started. */
+  get mayHaveUnlocatedTasks(): boolean {
+    return this.zonesOfUnlocated === null || this.zonesOfUnlocated.size > 0;
+  }
+
+  /** Returns whether tasks that have not been located may be on machines of the zone. */
+  mayHaveUnlocatedTaskIn(zone: ZoneName): boolean {
+    return this.zonesOfUnlocated === null || this.zonesOfUnlocated.has(zone);
+  }
+
   /** Number of tasks that have been located. */
   get count(): number {
     return this.located.size;
--- a/src/core/leadership/candidacy.ts
+++ b/src/core/leadership/candidacy.ts
@@ -61,16 +61,11 @@
   }
 
   private requestLease(term: TermRecord, termVersion: Revision): void {
-    let grantSentAt = this.context.now.monotonic;
-    const onResult = (result: StateStoreResultOf<'grant'>): void => {
+    const onResult = (result: StateStoreResultOf<'grant'>, grantSentAt: MonotonicTime): void => {
       if (result.ok) this.acquireLeaderKey({ term, leaseId: result.value.lease, grantSentAt }, termVersion);
       else this.onOutcome({ kind: 'unavailable' });
     };
-    this.context.stateStore.call({ op: 'grant', ttlMs: this.init.leaseDurationMs }, ELECTION_PRIORITY, onResult, {
-      onSend: (at) => {
-        grantSentAt = at;
-      },
-    });
+    this.context.stateStore.call({ op: 'grant', ttlMs: this.init.leaseDurationMs }, ELECTION_PRIORITY, onResult);
   }
 
   private acquireLeaderKey(lease: GrantedLease, termVersion: Revision): void {
--- a/src/core/leadership/leader_lease.ts
+++ b/src/core/leadership/leader_lease.ts
@@ -56,16 +56,12 @@
   /** Sends a renewal. Has no effect after the lease was released. */
   private renew(): void {
     if (this.isReleased) return;
-    let sentAt = this.context.now.monotonic;
-    const onResult = (result: StateStoreResult): void => {
+    const onResult = (result: StateStoreResult, sentAt: MonotonicTime): void => {
       if (!this.isReleased) this.onRenewal(outcomeOf(result), sentAt);
     };
     const renewal = { op: 'renew', lease: this.leadership.leaseId } as const;
     this.context.stateStore.call(renewal, ELECTION_PRIORITY, onResult, {
       timeoutMs: Math.min(MAX_RENEWAL_TIMEOUT_MS, this.durationMs * RENEWAL_TIMEOUT_SHARE),
-      onSend: (at) => {
-        sentAt = at;
-      },
     });
   }
 
--- a/src/core/requests/job_reader.ts
+++ b/src/core/requests/job_reader.ts
@@ -77,21 +77,17 @@
 
   /** Reads a job's record from the state store and updates the cache with it. */
   read(id: JobId, { onFound, onMissing, onUnavailable }: ReadContinuation): void {
-    let sentAt = this.context.now.monotonic;
-    const onSend = (at: MonotonicTime): void => {
-      sentAt = at;
-    };
     this.context.stateStore.call(
       { op: 'get', key: jobKey(id) },
       READ_PRIORITY,
-      (result) => {
+      (result, sentAt) => {
         if (!result.ok) return onUnavailable();
         if (!result.value.item) return onMissing();
         const job = this.jobCache.update(result.value.item);
         if (job) onFound(job, sentAt);
         else onUnavailable();
       },
-      { ...READ_OPTIONS, onSend },
+      READ_OPTIONS,
     );
   }
 }
--- a/src/core/requests/job_submission.ts
+++ b/src/core/requests/job_submission.ts
@@ -44,15 +44,11 @@
   private write(entry: NewEntry, continuation: RequestContinuation): void {
     const conditions = [{ key: entry.key, version: ABSENT_VERSION }];
     const changes = [{ put: entry.key, value: entry.value }];
-    let sentAt = this.context.now.monotonic;
-    const onSend = (at: MonotonicTime): void => {
-      sentAt = at;
-    };
     this.context.stateStore.call(
       { op: 'compareAndSwap', conditions, changes },
       WRITE_PRIORITY,
-      (result) => this.onResult(entry, result, sentAt, continuation),
-      { ...WRITE_OPTIONS, onSend },
+      (result, sentAt) => this.onResult(entry, result, sentAt, continuation),
+      WRITE_OPTIONS,
     );
   }
 
--- a/src/core/requests/linearizable_reads.ts
+++ b/src/core/requests/linearizable_reads.ts
@@ -61,20 +61,16 @@
     if (this.waiting.length > 0) this.batchTimer.set(this.context.after(NEXT_BATCH_MS));
     if (batch.size === 0) return;
     this.inFlight += 1;
-    let sentAt = this.context.now.monotonic;
-    const onSend = (at: MonotonicTime): void => {
-      sentAt = at;
-    };
     const conditions = [...batch].map(([id, { job }]) => ({ key: jobKey(id), version: job.version }));
     this.context.stateStore.call(
       { op: 'compareAndSwap', conditions, changes: [] },
       CONFIRM_PRIORITY,
-      (result) => {
+      (result, sentAt) => {
         this.inFlight -= 1;
         if (this.waiting.length > 0) this.schedule(NEXT_BATCH_MS);
         this.onResult(batch, result, sentAt);
       },
-      { ...CONFIRM_OPTIONS, onSend },
+      CONFIRM_OPTIONS,
     );
   }
 
--- a/src/core/scheduler/placement_constraints.ts
+++ b/src/core/scheduler/placement_constraints.ts
@@ -75,7 +75,7 @@
 export function zonesOfSingleZoneJob({ placements }: ClusterState, job: Job): readonly ZoneName[] | null {
   if (!job.spec.singleZone) return null;
   for (const { machine } of placements.ofJob(job).values()) return [machine.zone];
-  const zones = job.zonesOfUnlocatedTasks;
+  const zones = job.locatedTasks.unlocatedTaskZones;
   if (zones === null || zones.size > 1) return [];
   return zones.size === 1 ? [...zones] : null;
 }
--- a/src/core/state/previous_terms.ts
+++ b/src/core/state/previous_terms.ts
@@ -203,7 +203,7 @@
    * now.
    */
   startableTaskCount(job: Job): number {
-    job.setUnlocatedTaskZones(this.zonesOfUnlocatedTasks(job));
+    job.locatedTasks.setUnlocatedTaskZones(this.zonesOfUnlocatedTasks(job));
     return job.startableCount;
   }
 
--- a/test/late_start_process.test.ts
+++ b/test/late_start_process.test.ts
@@ -20,7 +20,7 @@
 async function cancelWhileStartsAreHeld(cluster: ProcessCluster, id: string): Promise<void> {
   const { workers, log } = cluster;
   await cluster.submit({ id, tasks: workers.length, cpus: 3, service: true }, 300_000);
-  const heldStarts = (): string[] => workers.flatMap((worker) => [...worker.heldStarts]);
+  const heldStarts = (): string[] => workers.flatMap(({ pushFaults }) => [...pushFaults.heldStarts]);
   await waitUntil(`the starts of ${id} are held up`, () => heldStarts().length === workers.length);
   assert.equal(await cluster.cancel(id), 'withdrawn');
   const isPending = (task: string): boolean => !log.startsByTask.has(task);
@@ -37,13 +37,13 @@
   await cluster.submit({ id: 'job-1', tasks: 6, cpus: 4 }, 300_000);
   await cluster.submit({ id: 'job-2', tasks: 6, cpus: 0.5, service: true }, 300_000);
   await waitUntil('all tasks run', () => log.runningTasks() === 12);
-  for (const worker of workers) worker.holdPushes();
+  for (const worker of workers) worker.pushFaults.holdUp();
   await cancelWhileStartsAreHeld(cluster, 'job-9');
   await cluster.submit({ id: 'job-3', tasks: 6, cpus: 0.5, service: true }, 300_000);
   await pause(CANCELLATION_TIMEOUT_SECONDS * 1000);
   const startsBefore = new Map(log.startsByTask);
   assert.equal(log.runningTasks('job-9'), 0);
-  for (const worker of workers) worker.releasePushes();
+  for (const worker of workers) worker.pushFaults.release();
   await pause(OBSERVATION_MS);
   assert.deepEqual(log.startsByTask, startsBefore);
   for (const id of ['job-1', 'job-2', 'job-3']) assert.equal(log.runningTasks(id), 6, `tasks of ${id}`);
@@ -62,7 +62,7 @@
   const isForgotten = (): boolean =>
     workers.every(({ taskNames }) => taskNames.every((task) => task.startsWith('job-1')));
   await waitUntil('the exits of all replicas are acknowledged', isForgotten);
-  for (const worker of workers) worker.repeatPushes();
+  for (const worker of workers) worker.pushFaults.repeatAll();
   assert.equal(log.runningTasks('job-2'), 0);
   assert.equal(log.runningTasks('job-1'), 6);
   assert.equal(Math.max(...log.startsByTask.values()), 1);
--- a/test/support/fake_worker.ts
+++ b/test/support/fake_worker.ts
@@ -3,6 +3,7 @@
 import { decodeCbor, encodeCbor } from '../../src/io/wire/cbor.js';
 import { sendRequest } from './http.js';
 import { type ControllerAddress, pause } from './processes.js';
+import { PushFaults } from './push_faults.js';
 
 /*
  * Stand-in for workers in tests with real controller processes. It runs in real time and uses the names on the wire for
@@ -93,11 +94,8 @@
   private listenAddress = '';
   private lastHeartbeatAt = 0;
   private hasUnsentChange = false;
-  private pushesHeldUp = false;
-  private heldPushes: (() => void)[] = [];
-  private readonly executedPushes: Fields[] = [];
-  /** The starts in the pushes that are held up, by their names on the wire. */
-  readonly heldStarts = new Set<string>();
+  /** Faults on the way of pushed commands to this worker. */
+  readonly pushFaults = new PushFaults((push) => this.executePush(push));
   /** Number of heartbeats that got a response with status 200. */
   successfulHeartbeats = 0;
   /** Number of heartbeats that got a redirect, an error or no response in time. */
@@ -141,26 +139,6 @@
     this.server.close();
   }
 
-  /**
-   * Holds up all pushed commands from now on. They are executed after `releasePushes`, even if their sender has given
-   * up by then, if their fencing token and agent epoch still match.
-   */
-  holdPushes(): void {
-    this.pushesHeldUp = true;
-  }
-
-  /** Delivers the held pushes in order. */
-  releasePushes(): void {
-    this.pushesHeldUp = false;
-    for (const deliver of this.heldPushes.splice(0)) deliver();
-  }
-
-  private async waitWhileHeldUp(commands: Fields[]): Promise<void> {
-    if (!this.pushesHeldUp) return;
-    for (const { call, chick } of commands) if (call === 'run') this.heldStarts.add(String(chick));
-    await new Promise<void>((resolve) => this.heldPushes.push(resolve));
-  }
-
   /** Returns whether the highest fencing token that the worker has received is `token`. */
   hasFencingToken(token: bigint): boolean {
     return this.highestFencingToken === token;
@@ -260,9 +238,7 @@
     const parts: Buffer[] = [];
     for await (const part of request) parts.push(part as Buffer);
     const body = decodeCbor(Buffer.concat(parts)) as Fields;
-    await this.waitWhileHeldUp(body.calls as Fields[]);
-    const executed = this.executePush(body);
-    if (executed) this.executedPushes.push(body);
+    const executed = await this.pushFaults.deliver(body);
     return { status: executed ? 200 : 409, body: this.makeHeartbeat() };
   }
 
@@ -278,11 +254,6 @@
     return executed;
   }
 
-  /** Delivers all pushes that were executed a second time. */
-  repeatPushes(): void {
-    for (const body of this.executedPushes) this.executePush(body);
-  }
-
   private execute(command: Fields): void {
     const taskName = String(command.chick);
     const attempt = BigInt(command.hop as number | bigint);
