Second reading: one choice of token, zones found once, no map of zones for each machine

Cause: found when the whole change was read again. The token of a machine that isn't tracked was chosen in two places. Whether and where tasks not yet located may be was asked twice for each waiting job of a round, by the same guards. canPlaceTask built the allowance of all zones to look at one, for each machine that it is asked about. Two places listed the final states of responses, one by its opposite.

Change: FencingTokens.current takes machines that aren't tracked; whether tasks may be on unreconciled machines follows from the zones in which they may be; allowsTaskInZone asks for one zone; isFinalStatus. Two comments are reflowed. No behaviour changes.

--- a/src/core/messages.ts
+++ b/src/core/messages.ts
@@ -195,6 +195,9 @@
 /** The status of a job in responses to users. */
 export type JobStatus = 'queued' | 'running' | 'done' | 'cancelled';
 
+/** Returns whether the status of a job never changes again. */
+export const isFinalStatus = (status: JobStatus): boolean => status === 'done' || status === 'cancelled';
+
 /** How many of a job's tasks are done and how many are running, for display. */
 export interface TaskCounts {
   readonly done: number;
--- a/src/core/outbox.ts
+++ b/src/core/outbox.ts
@@ -1,7 +1,14 @@
 /** Collects the outputs of a step, each with the time until which it may be sent. */
 import type { LeadershipValidity } from './leadership_validity.js';
 import { type FieldsOf, type LogEvent, logEntry } from './log_events.js';
-import type { HeartbeatResponse, Output, PeerMessage, RequestId, UserResponse } from './messages.js';
+import {
+  type HeartbeatResponse,
+  isFinalStatus,
+  type Output,
+  type PeerMessage,
+  type RequestId,
+  type UserResponse,
+} from './messages.js';
 import { UNFINISHED_STATE_VALID_MS } from './requests/state_validity.js';
 import type { StepClock } from './step_clock.js';
 import { addMilliseconds, type ControllerName, type MonotonicTime } from './types.js';
@@ -61,8 +68,7 @@
    * the job. Responses with such a state expire soon.
    */
   private userResponseExpiry(response: UserResponse, asOf: MonotonicTime = this.clock.now.monotonic): Expiry {
-    const isUnfinished =
-      'jobStatus' in response && (response.jobStatus === 'queued' || response.jobStatus === 'running');
+    const isUnfinished = 'jobStatus' in response && !isFinalStatus(response.jobStatus);
     return isUnfinished ? { expiresAt: addMilliseconds(asOf, UNFINISHED_STATE_VALID_MS) } : null;
   }
 
--- a/src/core/requests/final_responses.ts
+++ b/src/core/requests/final_responses.ts
@@ -1,6 +1,6 @@
 /** Delays responses with a final state until no controller sends a response with an earlier state of the job. */
 import type { JobCache } from '../jobs/job_cache.js';
-import type { UserResponse } from '../messages.js';
+import { isFinalStatus, type UserResponse } from '../messages.js';
 import type { StepContext } from '../step_context.js';
 import type { Timer } from '../timers.js';
 import { addMilliseconds, type MonotonicTime } from '../types.js';
@@ -36,7 +36,7 @@
 
   /** Returns null if the response need not wait. That includes final states which only a peer's response shows. */
   private dueAt(response: UserResponse): MonotonicTime | null {
-    const isFinal = 'jobStatus' in response && (response.jobStatus === 'done' || response.jobStatus === 'cancelled');
+    const isFinal = 'jobStatus' in response && isFinalStatus(response.jobStatus);
     const known = isFinal ? this.jobCache.get(response.id) : undefined;
     return known && known.record.state !== 'accepted' ? addMilliseconds(known.knownSince, FINAL_STATE_DELAY_MS) : null;
   }
--- a/src/core/scheduler/placement_constraints.ts
+++ b/src/core/scheduler/placement_constraints.ts
@@ -6,7 +6,7 @@
 import type { Machine } from '../machines/machine.js';
 import type { MachineType, ZoneName } from '../types.js';
 import type { ClusterState } from './cluster_state.js';
-import { hasZoneAllowance, zoneAllowance } from './zone_allowance.js';
+import { allowsTaskInZone } from './zone_allowance.js';
 
 /**
  * Returns whether a job allows machines of a type in a zone, and one of its tasks fits an empty machine of that type
@@ -57,8 +57,7 @@
  */
 export function canPlaceTask(cluster: ClusterState, job: Job, machine: Machine): boolean {
   if (!isFeasibleNow(cluster, job, machine) || cluster.quotas.remainingTasks(job.spec) < 1) return false;
-  if (!isInBoundZone(cluster, job, machine.zone)) return false;
-  return hasZoneAllowance(zoneAllowance(cluster, job), machine.zone, job);
+  return isInBoundZone(cluster, job, machine.zone) && allowsTaskInZone(cluster, job, machine.zone);
 }
 
 /** Returns whether a single-zone job with tasks on machines has them in this zone. Also true for all other jobs. */
--- a/src/core/scheduler/zone_allowance.ts
+++ b/src/core/scheduler/zone_allowance.ts
@@ -18,10 +18,17 @@
   if (!job.spec.zoneSpread) return null;
   const counts = placements.taskCountByZone(job);
   const { zones } = context.settings;
-  const free = (zone: ZoneName): number => maxTasksPerZone(job) - (counts.get(zone) ?? 0) - job.unlocatedCountIn(zone);
-  return new Map(zones.map((zone) => [zone, Math.max(0, free(zone))]));
+  return new Map(zones.map((zone) => [zone, Math.max(0, remainingTasks(job, counts, zone))]));
 }
 
+/** Returns whether the zone allows one more task of the job now. */
+export function allowsTaskInZone({ placements }: ClusterState, job: Job, zone: ZoneName): boolean {
+  return !job.spec.zoneSpread || remainingTasks(job, placements.taskCountByZone(job), zone) > 0;
+}
+
+const remainingTasks = (job: Job, counts: ReadonlyMap<ZoneName, number>, zone: ZoneName): number =>
+  maxTasksPerZone(job) - (counts.get(zone) ?? 0) - job.unlocatedCountIn(zone);
+
 /** Returns whether the zone allows one more task of the job. */
 export const hasZoneAllowance = (allowance: ZoneAllowance, zone: ZoneName, job: Job): boolean =>
   allowance === null || (allowance.get(zone) ?? maxTasksPerZone(job)) > 0;
--- a/src/core/state/previous_terms.ts
+++ b/src/core/state/previous_terms.ts
@@ -207,17 +207,17 @@
     return job.startableCount;
   }
 
-  private zonesOfUnlocatedTasks(job: Job): ReadonlySet<ZoneName> | null {
-    if (!this.mayRunOnUnreconciledMachine(job)) return NO_ZONES;
-    return this.recovery?.zonesOfUnlocatedTasks(toPreviousTermJob(job), this.context.now.monotonic) ?? null;
-  }
-
   /** Returns whether tasks of the job may be on an unreconciled machine. */
   mayRunOnUnreconciledMachine(job: Job): boolean {
-    if (!this.isFromPreviousTerm(job)) return false;
-    if (!this.recovery) return this.unreconciledMachineCount > 0;
-    if (this.recovery.isFinished) return false;
-    return this.recovery.mayRunOnUnreconciledMachine(toPreviousTermJob(job), this.context.now.monotonic);
+    const zones = this.zonesOfUnlocatedTasks(job);
+    return zones === null || zones.size > 0;
+  }
+
+  private zonesOfUnlocatedTasks(job: Job): ReadonlySet<ZoneName> | null {
+    if (!this.isFromPreviousTerm(job)) return NO_ZONES;
+    if (!this.recovery) return this.unreconciledMachineCount > 0 ? null : NO_ZONES;
+    if (this.recovery.isFinished) return NO_ZONES;
+    return this.recovery.zonesOfUnlocatedTasks(toPreviousTermJob(job), this.context.now.monotonic);
   }
 
   /** Called when the start of a task is sent. */
--- a/src/core/workers/commands.ts
+++ b/src/core/workers/commands.ts
@@ -13,8 +13,8 @@
 
 /**
  * Returns the commands for a heartbeat response with this fencing token: first acknowledged exits, then stops, then
- * starts. The starts are recorded as sent. `startsInResponseTo` is the sequence number of the heartbeat, or null if the response may not carry
- * starts.
+ * starts. The starts are recorded as sent. `startsInResponseTo` is the sequence number of the heartbeat, or null if the
+ * response may not carry starts.
  */
 export function responseCommands(
   cluster: Cluster,
--- a/src/core/workers/fencing_tokens.ts
+++ b/src/core/workers/fencing_tokens.ts
@@ -21,14 +21,9 @@
     private readonly newestRevision: () => Revision,
   ) {}
 
-  /** Returns the token of messages to the machine. */
-  current({ commandChannel }: Machine): FencingToken {
-    return (this.first + commandChannel.tokenRaises) as FencingToken;
-  }
-
-  /** The token of messages to machines that this leader does not track. */
-  get ofUntrackedMachines(): FencingToken {
-    return this.first;
+  /** Returns the token of messages to the machine, or to one that this leader does not track. */
+  current(machine: Machine | undefined): FencingToken {
+    return (this.first + (machine?.commandChannel.tokenRaises ?? 0n)) as FencingToken;
   }
 
   /** Returns whether the token is one of a previous leader, so that commands of that leader may still be executed. */
--- a/src/core/workers/heartbeat_handler.ts
+++ b/src/core/workers/heartbeat_handler.ts
@@ -155,9 +155,8 @@
     return this.tokens.isOfPreviousTerm(fencingToken);
   }
 
-  private isOfNewerLeader({ fencingToken, machine: id }: Heartbeat): boolean {
-    const machine = this.cluster.machines.get(id);
-    return fencingToken > (machine ? this.tokens.current(machine) : this.tokens.ofUntrackedMachines);
+  private isOfNewerLeader({ fencingToken, machine }: Heartbeat): boolean {
+    return fencingToken > this.tokens.current(this.cluster.machines.get(machine));
   }
 
   // ---- recording
--- a/src/core/workers/response_builder.ts
+++ b/src/core/workers/response_builder.ts
@@ -45,9 +45,7 @@
   /** Returns a response to a heartbeat that was not reconciled. It carries no commands but the stops described above. */
   leaseRenewal(heartbeat: Heartbeat): HeartbeatResponse {
     if (!this.mayRenewLeases()) return UNAVAILABLE;
-    const machine = this.cluster.machines.get(heartbeat.machine);
-    if (machine) return this.renewalOf(machine, heartbeat, () => []);
-    return this.renewalWith(this.tokens.ofUntrackedMachines, heartbeat, []);
+    return this.renewal(this.cluster.machines.get(heartbeat.machine), heartbeat, () => []);
   }
 
   /** Returns a response to a reconciled heartbeat, with all commands that are due on the machine. */
@@ -58,26 +56,20 @@
     const isNewest = machine.messages.latestSequence === heartbeat.sequence;
     const mayStartTasks = this.leader.mayStartTasks() && isNewest;
     const startsInResponseTo = mayStartTasks ? heartbeat.sequence : null;
-    return this.renewalOf(machine, heartbeat, (token) =>
+    return this.renewal(machine, heartbeat, (token) =>
       responseCommands(this.cluster, machine, token, startsInResponseTo),
     );
   }
 
-  private renewalOf(
-    machine: Machine,
+  /** Builds a renewal for a machine, or for one that this leader does not track. */
+  private renewal(
+    machine: Machine | undefined,
     heartbeat: Heartbeat,
     dueCommands: (token: FencingToken) => Command[],
   ): HeartbeatResponse {
-    if (!this.startInvalidation.prepareRenewal(machine)) return UNAVAILABLE;
-    const token = this.tokens.current(machine);
-    return this.renewalWith(token, heartbeat, dueCommands(token));
-  }
-
-  private renewalWith(
-    fencingToken: FencingToken,
-    heartbeat: Heartbeat,
-    commands: readonly Command[],
-  ): HeartbeatResponse {
+    if (machine && !this.startInvalidation.prepareRenewal(machine)) return UNAVAILABLE;
+    const fencingToken = this.tokens.current(machine);
+    const commands = dueCommands(fencingToken);
     const stops = this.stopsOfCancelledTasks(heartbeat, commands);
     return { status: 200, fencingToken, commands: [...commands, ...stops] };
   }
--- a/src/core/workers/start_invalidation.ts
+++ b/src/core/workers/start_invalidation.ts
@@ -18,8 +18,9 @@
 
 /**
  * Raises the fencing token of a machine to which an unwanted start may still be on its way, for the first time or as a
- * repetition of a push that was executed. The raise needs no call: the response to the next heartbeat carries the higher token. A worker either accepts that response and refuses the start,
- * or accepts no response and its lease ends, and with it the agent epoch that the start names.
+ * repetition of a push that was executed. The raise needs no call: the response to the next heartbeat carries the higher
+ * token. A worker either accepts that response and refuses the start, or accepts no response and its lease ends, and
+ * with it the agent epoch that the start names.
  */
 export class StartInvalidation {
   constructor(
--- a/src/recovery/recovery.ts
+++ b/src/recovery/recovery.ts
@@ -95,8 +95,11 @@
 
   /** Returns whether a task of the job that has not been found may be on an unreconciled machine. */
   mayRunOnUnreconciledMachine(job: PreviousTermJob, now: MonotonicTime): boolean {
-    if (job.startTerm <= 0 || job.startTerm >= this.init.term || job.unaccountedCount <= 0) return false;
-    return this.unreconciled.isFeasible(job, now);
+    return this.hasUnlocatedTasks(job) && this.unreconciled.isFeasible(job, now);
+  }
+
+  private hasUnlocatedTasks({ startTerm, unaccountedCount }: PreviousTermJob): boolean {
+    return startTerm > 0 && startTerm < this.init.term && unaccountedCount > 0;
   }
 
   /**
@@ -104,7 +107,7 @@
    * if they may be in any zone.
    */
   zonesOfUnlocatedTasks(job: PreviousTermJob, now: MonotonicTime): ReadonlySet<ZoneName> | null {
-    return this.mayRunOnUnreconciledMachine(job, now) ? this.unreconciled.feasibleZones(job, now) : new Set();
+    return this.hasUnlocatedTasks(job) ? this.unreconciled.feasibleZones(job, now) : new Set();
   }
 
   /** Returns the capacity of the unreconciled machines, or null if there may be unregistered machines too. */
