--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -270,11 +270,12 @@
       this.breakRule('ran_twice', { task: task.chick, on: others, starts_on: worker.machine.ref });
     const cancelledAt = this.cancelledAt.get(task.job.ref);
     if (cancelledAt !== undefined) this.note('start after cancellation', { task: task.chick, after_s: (now - cancelledAt) / 1000 });
-    holders.set(worker.machine.ref, now);
     if (this.done.get(task.job.ref)?.has(task.index)) {
+      // The result is kept, so the task exits at once and is on the machine for no time.
       worker.exit(task, 'done');
       return;
     }
+    holders.set(worker.machine.ref, now);
     task.startedAt = now;
     if (task.job.shape === 'ensemble') {
       worker.setMood(task, 'gathering');
