--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -6,8 +6,8 @@
 
 /** Jobs at the start, then the rate of a burst, after the pages that claim.txt quotes. */
 const AT_START = TROUBLE ? 175 : 28;
-const IN_BURST = TROUBLE ? 103 : 0;
-const BURST_PER_SECOND = 8;
+const IN_BURST = TROUBLE ? 101 : 0;
+const BURST_PER_SECOND = 8.5;
 const ALLOWED_WAIT_MS = 90_000;
 
 // The second deployment of the operators, with one machine, and a cloud without capacity for more.
@@ -54,7 +54,7 @@
   );
 for (let count = 0; count < AT_START; count++) {
   submitOne();
-  await sleep(1000 / 30);
+  await sleep(1000 / 36);
 }
 for (let count = 0; count < IN_BURST; count++) {
   submitOne();
