--- a/src/core/machines/cordon.ts
+++ b/src/core/machines/cordon.ts
@@ -13,7 +13,7 @@
   | 'spot interruption'
   | 'unresponsive';
 
-/** Whether a machine is cordoned. A drain is permanent, whereas a quarantine ends after a time. */
+/** Whether a machine is cordoned. A quarantine ends after a time. Only the drain of a straggler can end. */
 export class Cordon {
   private reason: DrainReason | null = null;
   private quarantineEndsAt = 0 as MonotonicTime;
@@ -37,7 +37,21 @@
 
   /** Returns whether the machine gets no new tasks now: it is draining, quarantined, or has an interruption notice. */
   isCordoned(now: MonotonicTime): boolean {
-    return this.reason !== null || this.interruptionTime !== null || this.quarantineEndsAt > now;
+    return this.isDraining || this.isUnusable(now);
+  }
+
+  /** Returns whether the only reason for which the machine gets no new tasks is that it is drained as a straggler. */
+  isOnlyStraggler(now: MonotonicTime): boolean {
+    return this.reason === 'straggler' && !this.isUnusable(now);
+  }
+
+  private isUnusable(now: MonotonicTime): boolean {
+    return this.interruptionTime !== null || this.quarantineEndsAt > now;
+  }
+
+  /** Ends the drain of a straggler, which may get new tasks again. */
+  undrainStraggler(): void {
+    if (this.reason === 'straggler') this.reason = null;
   }
 
   /** Whether tasks should leave the machine: it is draining or has an interruption notice. */
--- a/src/core/machines/machine.ts
+++ b/src/core/machines/machine.ts
@@ -122,14 +122,23 @@
    * heartbeats here (no-reports-machine.txt, and a property test).
    */
   isSchedulable(now: MonotonicTime, heartbeatIntervalMs: number): boolean {
+    return this.canRunTasks(now, heartbeatIntervalMs) && !this.cordon.isCordoned(now);
+  }
+
+  /** Returns whether new tasks may be placed on it as a last resort: it is schedulable, or only drained as a straggler. */
+  isSchedulableAsLastResort(now: MonotonicTime, heartbeatIntervalMs: number): boolean {
+    const isCordoned = this.cordon.isCordoned(now) && !this.cordon.isOnlyStraggler(now);
+    return !isCordoned && this.canRunTasks(now, heartbeatIntervalMs);
+  }
+
+  private canRunTasks(now: MonotonicTime, heartbeatIntervalMs: number): boolean {
     return (
       this.phase === 'up' &&
       !this.messages.isHeartbeatOverdue(now, heartbeatIntervalMs) &&
       this.isReconciled &&
       this.reachability.isUsable &&
       this.reportedTasks.unexpected.size === 0 &&
-      !this.lifecycle.isTerminating &&
-      !this.cordon.isCordoned(now)
+      !this.lifecycle.isTerminating
     );
   }
 
--- a/src/core/scheduler/backfill.ts
+++ b/src/core/scheduler/backfill.ts
@@ -41,7 +41,7 @@
     if (freeMachines.size === 0 || workspace.steps >= stepLimit) break;
     // Free capacity only shrinks during a backfill. A job that is at least as demanding as a rejected job can't start
     // either.
-    if (job.zoneAllowance || rejected.some((other) => isAtLeastAsDemanding(job, other))) continue;
+    if (rejected.some((other) => isAtLeastAsDemanding(job, other))) continue;
     const started = startNow(workspace, job, workspace.candidatesAmong(job, freeMachines));
     if (started.length === 0) rejected.push(job);
     for (const { machineIndex } of started) {
@@ -72,11 +72,15 @@
 
 function startArrayNow(workspace: PlanWorkspace, job: PlanJob, candidates: readonly Candidate[]): PlannedStart[] {
   const starts: PlannedStart[] = [];
+  const allowance = job.zoneAllowance ? new Map(job.zoneAllowance) : null;
   let left = job.tasks;
   for (const candidate of offersNow(workspace, job, candidates)) {
     if (left <= 0) break;
-    const { machineIndex, imagePullSeconds } = candidate;
-    const tasks = Math.min(left, candidate.taskCount);
+    const { machineIndex, imagePullSeconds, machine } = candidate;
+    const allowed = allowance?.get(machine.zone) ?? left;
+    const tasks = Math.min(left, candidate.taskCount, allowed);
+    if (tasks <= 0) continue;
+    allowance?.set(machine.zone, allowed - tasks);
     const start = { jobIndex: job.index, machineIndex, tasks, freeAtSeconds: 0, startAtSeconds: imagePullSeconds };
     workspace.addStart(start, job, candidate, imagePullSeconds + job.durationSeconds, starts);
     left -= tasks;
@@ -129,6 +133,7 @@
     isWithinTypesOf(job, other) &&
     job.feasibleZones.every((zone) => other.feasibleZones.includes(zone)) &&
     other.excludedMachines === null &&
+    other.zoneAllowance === null &&
     isGangAtLeastAsLarge(job, other)
   );
 }
--- a/src/core/scheduler/plan_input.ts
+++ b/src/core/scheduler/plan_input.ts
@@ -67,14 +67,14 @@
     return this.addedPlanJobs;
   }
 
-  /** Adds a job and returns its index, or null if no zone has a machine for it and none could be provisioned. */
-  addJob(waiting: WaitingJob): number | null {
+  /** Adds a job. Returns null if no zone has a machine for it and none could be provisioned. */
+  addJob(waiting: WaitingJob): PlanJob | null {
     const feasibleZones = this.feasibleZones(waiting.job);
     if (feasibleZones.length === 0) return null;
-    const index = this.addedJobs.length;
+    const planJob = this.planJob(waiting, feasibleZones, this.addedJobs.length);
     this.addedJobs.push(waiting.job);
-    this.addedPlanJobs.push(this.planJob(waiting, feasibleZones, index));
-    return index;
+    this.addedPlanJobs.push(planJob);
+    return planJob;
   }
 
   /**
--- a/src/core/scheduler/replica_demand.ts
+++ b/src/core/scheduler/replica_demand.ts
@@ -31,8 +31,8 @@
     const replicas = Math.min(job.startableCount, cluster.quotas.remainingTasks(job.spec));
     const tasks = takeIncomingCapacity(incoming, job, replicas);
     if (tasks <= 0) continue;
-    const jobIndex = input.addJob({ job, tasks, waitedSeconds: waitedSeconds(cluster, job) });
-    if (jobIndex !== null) unplacedTasks.set(jobIndex, tasks);
+    const planJob = input.addJob({ job, tasks, waitedSeconds: waitedSeconds(cluster, job) });
+    if (planJob !== null) unplacedTasks.set(planJob.index, tasks);
   }
   return { ...plan, unplacedTasks };
 }
