A job that has waited for 60 s with room starts there, whatever the plan prefers or keeps

Cause: preferences and reservations that each round decides alike, and nothing that knows how long a job has been beside room. The same happened, in scenarios that failed before, with an image on a busy machine, a machine kept for an overdue gang, a team's limit kept for one, and a machine drained as a straggler because estimates were too low.

Change: after each round LongWaits asks of every waiting job whether there is room for it (FreeCapacity) and starts those for which there has been for 60 s: one task of an array with GPUs, four of one without, whole gangs, all replicas of a service.

The simulator's check counts exited tasks and tasks on hung machines no longer as started, models gangs with a spread, and excuses jobs that fail everywhere no more.

--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -7,6 +7,7 @@
 import { Retries } from './retries.js';
 import { SchedulingHistory } from './scheduling_history.js';
 import { StoredJobState } from './stored_job_state.js';
+import { WaitWithRoom } from './wait_with_room.js';
 
 /** How soon a job's record has to be written. `immediate` means that something else has to wait for the write. */
 type WriteUrgency = 'none' | 'deferrable' | 'immediate';
@@ -23,6 +24,8 @@
   readonly failureHistory = new FailureHistory();
   /** How often the job was migrated and preempted others, and whether its run time was estimated wrongly. */
   readonly schedulingHistory = new SchedulingHistory();
+  /** For how long the job has been waiting although there was room for it. */
+  readonly waitWithRoom = new WaitWithRoom();
   /** Which tasks have been located after a failover, and how their attempts ended. */
   readonly locatedTasks = new LocatedTasks();
   /** Tasks that are known to be complete, whether or not their completion is durable. */
@@ -185,6 +188,7 @@
   /** Called when a placement of the task is added. */
   onTaskPlaced(index: number): void {
     this.placedTasks.add(index);
+    this.waitWithRoom.end();
   }
 
   /** Called when the placement of the task is removed. */
--- a/src/core/leadership/planning_rounds.ts
+++ b/src/core/leadership/planning_rounds.ts
@@ -1,5 +1,6 @@
 /** Decides when planning rounds and placements of replicas run, and carries out the actions that follow from them. */
 import type { Autoscaler } from '../autoscaling/autoscaler.js';
+import { LongWaits } from '../scheduler/long_waits.js';
 import { migrateToCachedImages } from '../scheduler/migration.js';
 import { preempt } from '../scheduler/preemption.js';
 import { scheduleRound } from '../scheduler/round.js';
@@ -32,6 +33,7 @@
   private lastRoundAt = 0 as MonotonicTime;
   private lastRoundSteps = 0;
   private roundCount = 0;
+  private readonly longWaits: LongWaits;
 
   /** `seed` determines all random choices of the rounds. */
   constructor(
@@ -41,6 +43,7 @@
     private readonly callbacks: PlanningRoundCallbacks,
   ) {
     this.context = cluster.context;
+    this.longWaits = new LongWaits(cluster);
     cluster.timers.planningRound.setCallback(() => this.onRoundDue());
     cluster.timers.servicePlacement.setCallback(() => {
       if (this.callbacks.mayPlan()) this.placeServices();
@@ -82,11 +85,13 @@
     this.roundCount += 1;
     this.placeServices();
     const round = scheduleRound(this.cluster, (this.seed + this.roundCount * SEED_STEP) | 0);
-    this.lastRoundSteps = round.steps;
+    const longWaits = this.longWaits.startDueJobs(this.context.tuning.scheduler.plan_steps);
+    this.lastRoundSteps = round.steps + longWaits.steps;
     migrateToCachedImages(this.cluster);
     preempt(this.cluster, round);
     this.autoscaler.runScaleOut(round);
     this.callbacks.flushRecords();
+    if (longWaits.replicas > 0) this.callbacks.pushCommands();
     this.callbacks.releaseDeferredResponses();
   }
 }
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -92,6 +92,7 @@
   'machine stopped': event<MachineFields & { readonly lostTasks: number }>('info'),
   'machine failing tasks': event<MachineFields>('info'),
   'straggler detected': event<MachineFields>('info'),
+  'straggler put back into service': event<MachineFields>('info'),
   'agent lease expired': event<MachineFields & { readonly lostTasks: number; readonly reconciled: boolean }>('info'),
   'agent epoch began': event<MachineFields & { readonly agentEpoch: bigint; readonly lostTasks: number }>('info'),
   'interruption notice received': event<MachineFields & { readonly interruptionNoticeSeconds: number }>('info'),
@@ -144,6 +145,9 @@
     readonly startedTasks: number;
     readonly cost: number;
   }>('debug'),
+  'jobs started after long waits': event<{ readonly jobs: number; readonly tasks: number; readonly planSteps: number }>(
+    'debug',
+  ),
   'machines reserved for gang': event<{ readonly job: JobId; readonly machines: number }>('debug'),
   'gang migration started': event<{ readonly job: JobId; readonly machines: readonly string[] }>('debug'),
   'tasks preempted for replica': event<MachineFields & { readonly job: JobId }>('debug'),
--- a/src/core/scheduler/apply.ts
+++ b/src/core/scheduler/apply.ts
@@ -9,11 +9,12 @@
 import type {
   Eviction,
   GangMigration,
+  GangStart,
   PlannedObjects,
   Preemption,
   ReplicaMove,
-  ReplicaStart,
   Reservation,
+  TaskStart,
 } from './decisions.js';
 import { canPlaceTask } from './placement_constraints.js';
 import type { PlannedStart } from './plan_types.js';
@@ -77,21 +78,29 @@
   starts: readonly PlannedStart[],
   machines: readonly Machine[],
 ): number {
+  const machineOfEachTask = starts.flatMap(({ machineIndex, tasks }) =>
+    Array.from({ length: tasks }, () => machines[machineIndex] as Machine),
+  );
+  return applyGangStart(cluster, { job, machines: machineOfEachTask });
+}
+
+/** Places all tasks of a gang, or none of them if one cannot be placed. Returns the number of tasks placed. */
+export function applyGangStart(cluster: SchedulableCluster, { job, machines }: GangStart): number {
   if (job.placedCount > 0 || cluster.quotas.remainingTasks(job.spec) < job.spec.taskCount) return 0;
   const attempt = cluster.nextAttempt();
-  let placed = 0;
-  for (const { machineIndex, tasks } of starts) {
-    const machine = machines[machineIndex] as Machine;
-    for (let task = 0; task < tasks; task++) {
-      if (!canPlaceTask(cluster, job, machine)) {
-        cluster.placements.breakGang(job);
-        return 0;
-      }
-      placeTask(cluster, job, placed, machine, attempt);
-      placed += 1;
+  for (const [index, machine] of machines.entries()) {
+    if (!canPlaceTask(cluster, job, machine)) {
+      cluster.placements.breakGang(job);
+      return 0;
     }
+    placeTask(cluster, job, index, machine, attempt);
   }
-  return placed;
+  return machines.length;
+}
+
+/** Places a task of an array. */
+export function applyArrayStart(cluster: SchedulableCluster, { job, index, machine }: TaskStart): void {
+  placeTask(cluster, job, index, machine, cluster.nextAttempt());
 }
 
 /** Places a task. Its start command is sent to the worker only after the job's first start has been persisted. */
@@ -139,7 +148,7 @@
 }
 
 /** Places a replica. Its start command is pushed to the worker instead of waiting for the worker's next heartbeat. */
-export function applyReplicaStart(cluster: SchedulableCluster, { job, index, machine }: ReplicaStart): void {
+export function applyReplicaStart(cluster: SchedulableCluster, { job, index, machine }: TaskStart): void {
   placeTask(cluster, job, index, machine, cluster.nextAttempt());
   cluster.pendingCommands.requestStarts(machine);
   machine.endReservation(job.id);
@@ -160,3 +169,13 @@
 export function endReplicaWait(job: Job): void {
   if (job.pendingCount === 0) job.endReplicaWait();
 }
+
+/**
+ * Puts a machine back into service that is drained as a straggler. It may be fast after all, as the estimates of the
+ * jobs that it ran may have been too low. Does nothing for other machines.
+ */
+export function applyUndrain(cluster: SchedulableCluster, machine: Machine): void {
+  if (machine.cordon.drainReason !== 'straggler') return;
+  machine.cordon.undrainStraggler();
+  cluster.context.log('straggler put back into service', { machine: machine.id });
+}
--- a/src/core/scheduler/decisions.ts
+++ b/src/core/scheduler/decisions.ts
@@ -41,8 +41,14 @@
   readonly reservationMs: number;
 }
 
-/** A replica to start on a machine. */
-export interface ReplicaStart {
+/** A gang to start, with a machine for each of its tasks. */
+export interface GangStart {
+  readonly job: Job;
+  readonly machines: readonly Machine[];
+}
+
+/** A task of an array or a replica of a service to start on a machine. */
+export interface TaskStart {
   readonly job: Job;
   readonly index: number;
   readonly machine: Machine;
--- a/src/core/scheduler/ranking.ts
+++ b/src/core/scheduler/ranking.ts
@@ -40,7 +40,7 @@
  * Maximum number of tasks planned in one round for an array without GPUs whose placement penalties no longer apply.
  * This is enough for the array to make progress.
  */
-const UNPENALIZED_ARRAY_TASKS = 4;
+export const UNPENALIZED_ARRAY_TASKS = 4;
 
 /**
  * Returns the waiting jobs that may start now, in the order in which they are planned (the relative priority of Section
--- a/test/sim/idle_capacity.ts
+++ b/test/sim/idle_capacity.ts
@@ -1,5 +1,5 @@
 /** Checks that jobs don't wait while there is free capacity for them. */
-import type { JobId, JobSpec } from '../../src/core/types.js';
+import type { JobId, JobSpec, ZoneName } from '../../src/core/types.js';
 import type { SimulatedWorker } from './worker.js';
 import type { World } from './world.js';
 
@@ -10,8 +10,9 @@
 
 /**
  * Checks that after the end of all faults no job waits for 90 s while feasible machines have free capacity for it and
- * its team is within its quota. It checks only jobs without a task on any machine. For a gang, the free capacity must
- * suffice for all its tasks at once.
+ * its team is within its quota. Capacity that the scheduler keeps for other jobs counts as free. A job waits while none
+ * of its tasks is on a machine; tasks that have exited, or whose machine hangs, do not count. For a gang, the free
+ * capacity must suffice for all its tasks at once, within the zones that the job allows.
  */
 export class IdleCapacityCheck {
   private readonly idleSince = new Map<JobId, number>();
@@ -42,31 +43,32 @@
   }
 
   private isWaiting(spec: JobSpec): boolean {
-    const { invariants, faultyJobs, workers } = this.world;
+    const { invariants, workers } = this.world;
     if (!invariants.isAccepted(spec.id) || invariants.cancellationRequested.has(spec.id) || invariants.isDone(spec.id))
       return false;
-    if (faultyJobs.has(spec.id)) return false;
-    for (const worker of workers.values())
-      for (const task of worker.tasks.values()) if (task.job === spec.id) return false;
+    for (const worker of workers.values()) if (!worker.isHung && holdsTaskOf(worker, spec.id)) return false;
     return true;
   }
 
   /** The worker of a machine with free capacity for the job; null if there isn't enough capacity. */
   private findFreeCapacity(spec: JobSpec): SimulatedWorker | null {
     const requiredTasks = spec.kind === 'gang' ? spec.taskCount : 1;
-    // A gang with a zone spread needs capacity in several zones, which this check doesn't model.
-    if (!this.isWithinQuota(spec, requiredTasks) || (spec.zoneSpread && requiredTasks > 1)) return null;
-    const freeByZone = new Map<string, { tasks: number; worker: SimulatedWorker }>();
+    if (!this.isWithinQuota(spec, requiredTasks)) return null;
+    const freeByZone = new Map<ZoneName, { tasks: number; worker: SimulatedWorker }>();
     for (const worker of this.world.workers.values()) {
       const tasks = this.tasksThatFit(worker, spec);
       if (tasks <= 0) continue;
-      const zone = spec.singleZone ? worker.zone : 'any';
-      const found = freeByZone.get(zone) ?? { tasks: 0, worker };
+      const found = freeByZone.get(worker.zone) ?? { tasks: 0, worker };
       found.tasks += tasks;
-      freeByZone.set(zone, found);
+      freeByZone.set(worker.zone, found);
     }
-    for (const { tasks, worker } of freeByZone.values()) if (tasks >= requiredTasks) return worker;
-    return null;
+    const zones = [...freeByZone.values()];
+    const maxTasksPerZone = spec.zoneSpread ? Math.ceil(spec.taskCount / 2) : spec.taskCount;
+    const usableTasks = zones.map(({ tasks }) => Math.min(tasks, maxTasksPerZone));
+    const tasksThatFit = spec.singleZone
+      ? Math.max(0, ...usableTasks)
+      : usableTasks.reduce((sum, tasks) => sum + tasks, 0);
+    return tasksThatFit >= requiredTasks ? (zones[0]?.worker ?? null) : null;
   }
 
   private tasksThatFit(worker: SimulatedWorker, spec: JobSpec): number {
@@ -106,3 +108,9 @@
     return (team.limit.cpus <= 0 || cpus <= team.limit.cpus) && (team.limit.gpus <= 0 || gpus <= team.limit.gpus);
   }
 }
+
+/** Whether a task of the job is on the machine and has not exited. */
+function holdsTaskOf(worker: SimulatedWorker, job: JobId): boolean {
+  for (const task of worker.tasks.values()) if (task.job === job && task.phase !== 'exited') return true;
+  return false;
+}
