--- a/test/sim/task_executor.ts
+++ b/test/sim/task_executor.ts
@@ -99,6 +99,11 @@
     this.worker.hasUnreportedChange = true;
   }
 
+  /** Returns whether the attempt that a command names is reported, so that its start has no effect. */
+  knows({ job, index, attempt }: Command): boolean {
+    return this.reportedTasks.some((task) => task.job === job && task.index === index && task.attempt === attempt);
+  }
+
   /** Executes a command; the worker has checked its fencing token. */
   execute(command: Command): void {
     this.world.commandCounts.onCommand(command);
--- a/test/sim/worker.ts
+++ b/test/sim/worker.ts
@@ -255,6 +255,7 @@
       this.world.commandCounts.onPushedCommands(push);
       this.raiseFencingToken(push.fencingToken);
       for (const command of push.commands) this.executor.execute(command);
+      this.world.onPushExecuted(this, push);
       if (this.now < this.world.duplicatePushesUntil) this.scheduleDuplicate(push);
     }
     reply({ executed, heartbeat: this.makeHeartbeat() });
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -78,6 +78,8 @@
   duplicateHeartbeatsUntil = 0;
   /** The time until which pushed commands that a worker executes are delivered a second time, with a delay. */
   duplicatePushesUntil = 0;
+  /** Called with pushed commands that a worker has executed. */
+  onPushExecuted: (worker: SimulatedWorker, push: CommandPush) => void = () => {};
   /** Called with pushed commands that are held up on their way to a worker. */
   onPushHeld: (push: CommandPush) => void = () => {};
   /**
