The size of a stored value is counted in bytes wherever it meets a limit

Cause: submissions, pages of the machine registry and the space for zones compared UTF-16 units with limits in bytes; a transaction counted each job as 700 bytes.

Change: storedBytes is the only measure. Transactions count what they hold against 64 KiB. A job that has ended and whose record does not fit, as an earlier release accepted it or the limit fell, is stored without the texts of its description. The simulated state store counts bytes, and the size of transactions.

--- a/src/core/leadership/write_batch.ts
+++ b/src/core/leadership/write_batch.ts
@@ -4,13 +4,13 @@
 import type { MachineRegistry } from '../machines/machine_registry.js';
 import type { RegistryPage } from '../machines/registry_page.js';
 import type { StateChange, VersionCondition } from '../messages.js';
-import { encodeJob, type JobState, jobKey, pageKey } from '../records.js';
+import { encodeJob, type JobState, jobKey, pageKey, storedBytes } from '../records.js';
 import type { MonotonicTime, ZoneName } from '../types.js';
 
-/** Maximum estimated size of a transaction. The state store accepts 64 KiB, but the sizes here are only estimates. */
-const MAX_TRANSACTION_BYTES = 48_000;
-const ESTIMATED_JOB_RECORD_BYTES = 700;
-const ESTIMATED_DONE_RANGE_BYTES = 14;
+/** Maximum size of a transaction, which the state store's protocol sets. */
+const MAX_TRANSACTION_BYTES = 64 * 1024;
+/** Size of what a transaction holds beside each value: field names, the value's key twice, and its version. */
+const ENTRY_OVERHEAD_BYTES = 256;
 
 /** The part of a job's record that can change, as the transaction writes it. */
 export interface JobSnapshot {
@@ -40,7 +40,7 @@
   readonly changes: StateChange[] = [];
   readonly jobs: JobSnapshot[] = [];
   readonly pages: PageSnapshot[] = [];
-  private bytes = 0;
+  private bytes = ENTRY_OVERHEAD_BYTES;
   private urgent = false;
 
   /** `leaderCondition` prevents the batch from being written after the leader has lost its leadership. */
@@ -58,14 +58,16 @@
 
   /** Returns whether another change may be added. */
   hasSpace(): boolean {
-    return this.changes.length < this.limits.maxChanges && this.bytes < MAX_TRANSACTION_BYTES;
+    if (this.changes.length === 0) return true;
+    const largestEntryBytes = this.limits.maxValueBytes + ENTRY_OVERHEAD_BYTES;
+    return this.changes.length < this.limits.maxChanges && this.bytes + largestEntryBytes <= MAX_TRANSACTION_BYTES;
   }
 
   /** Adds the current content of a page. */
   addPage(page: RegistryPage, registry: MachineRegistry, now: MonotonicTime): void {
     if (page.isUrgent) this.urgent = true;
     const { change, bytes, machines } = registry.beginWrite(page, now);
-    this.bytes += bytes;
+    this.bytes += bytes + ENTRY_OVERHEAD_BYTES;
     this.pages.push({ page, machines });
     this.conditions.push({ key: pageKey(page.index), version: page.version });
     this.changes.push(change);
@@ -79,7 +81,7 @@
     const startZones = job.startZones && [...job.startZones];
     const record = { spec, submittedAt, state, startTerm, startZone, startZones, done: doneTasks };
     const value = encodeJob(record, this.limits.maxValueBytes);
-    this.bytes += ESTIMATED_JOB_RECORD_BYTES + value.done.length * ESTIMATED_DONE_RANGE_BYTES;
+    this.bytes += storedBytes(value) + ENTRY_OVERHEAD_BYTES;
     this.jobs.push({ job, state, startTerm, startZones, doneTasks: value.done });
     this.conditions.push({ key: jobKey(job.id), version: job.stored.version });
     this.changes.push({ put: jobKey(job.id), value });
--- a/src/core/machines/machine_registry.ts
+++ b/src/core/machines/machine_registry.ts
@@ -7,6 +7,7 @@
   MACHINE_PREFIX,
   type MachineRecord,
   pageKey,
+  storedBytes,
 } from '../records.js';
 import { ABSENT_VERSION, type MachineId, type MonotonicTime, type Revision } from '../types.js';
 import type { Machine } from './machine.js';
@@ -22,7 +23,7 @@
 
 interface PageWrite {
   readonly change: StateChange;
-  /** Approximate size of the encoded page. */
+  /** Size of the encoded page. */
   readonly bytes: number;
   /** The machines on the page when the write began. */
   readonly machines: readonly Machine[];
@@ -110,7 +111,7 @@
 
   private fits(machines: readonly Machine[]): boolean {
     if (machines.length > this.machinesPerPage) return false;
-    return JSON.stringify(encodePage(machines.map(recordOf), 0)).length <= this.valueBytes * MAX_PAGE_SHARE;
+    return storedBytes(encodePage(machines.map(recordOf), 0)) <= this.valueBytes * MAX_PAGE_SHARE;
   }
 
   /** Assigns a machine to the fullest page that has space for it, except `except`, and marks the page for a rewrite. */
@@ -200,7 +201,7 @@
   private encode(records: readonly MachineRecord[]): { page: unknown; bytes: number } {
     for (let images = MAX_IMAGES; ; images = Math.floor(images / 2)) {
       const page = encodePage(records, images);
-      const bytes = JSON.stringify(page).length;
+      const bytes = storedBytes(page);
       if (images === 0 || bytes <= this.valueBytes * MAX_PAGE_SHARE_WITH_IMAGES) return { page, bytes };
     }
   }
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -69,9 +69,18 @@
   readonly complete: boolean;
 }
 
+/** Returns the size of a value as the state store counts it: the bytes of its JSON form in UTF-8. */
+export const storedBytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+
 /** A stored value whose fields have yet to be checked. */
 type StoredFields = Record<string, unknown>;
 
+/** The stored form of a job record. */
+interface StoredJob extends StoredFields {
+  readonly spec: StoredFields;
+  readonly done: [number, number][];
+}
+
 const isFields = (value: unknown): value is StoredFields =>
   typeof value === 'object' && value !== null && !Array.isArray(value);
 
@@ -157,18 +166,27 @@
 
 /**
  * Returns the stored form of a job record, limited to `valueBytes`. Completed tasks that do not fit are left out. Their
- * results stay with the workers that hold them.
+ * results stay with the workers that hold them. If a job has ended and its record does not fit, because a smaller limit
+ * has come into force, the texts of its spec are left out, so that its end can be stored.
  */
-export function encodeJob(record: JobRecord, valueBytes: number): StoredFields & { done: [number, number][] } {
-  const { spec, submittedAt: at, state, startTerm: term, startZone: zone, startZones: zones, done } = record;
+export function encodeJob(record: JobRecord, valueBytes: number): StoredJob {
+  const value = encodeWithoutDone(record, encodeSpec(record.spec));
+  if (record.state === 'accepted' && record.done.count === 0) return value;
+  const maxBytes = valueBytes - SPARE_BYTES;
+  const isTooLong = record.state !== 'accepted' && storedBytes(value) > maxBytes;
+  const shortened = isTooLong ? encodeWithoutDone(record, withoutTexts(value.spec)) : value;
+  return { ...shortened, done: record.done.pairs(maxBytes - storedBytes(shortened)) };
+}
+
+function encodeWithoutDone(record: JobRecord, spec: StoredFields): StoredJob {
+  const { submittedAt: at, state, startTerm: term, startZone: zone, startZones: zones } = record;
   const zonesField = zones === null ? {} : { zones };
-  const fields = { v: JOB_RECORD_VERSION, spec: encodeSpec(spec), at, state, term, zone, ...zonesField };
-  const value = { ...fields, done: [] as [number, number][] };
-  if (done.count === 0) return value;
-  const bytesLeft = valueBytes - SPARE_BYTES - Buffer.byteLength(JSON.stringify(value));
-  return { ...value, done: done.pairs(bytesLeft) };
+  return { v: JOB_RECORD_VERSION, spec, at, state, term, zone, ...zonesField, done: [] };
 }
 
+/** Returns a stored spec without the texts that may be long, and that no job needs after its end. */
+const withoutTexts = (spec: StoredFields): StoredFields => ({ ...spec, jobClass: '', image: '', types: null });
+
 /**
  * Returns whether the names of these zones fit into a job's record. Earlier releases reserve no space for them when
  * they accept a job.
@@ -181,7 +199,7 @@
   const { spec, submittedAt, state, startTerm, startZone } = record;
   const done = new RangeSet();
   const value = encodeJob({ spec, submittedAt, state, startTerm, startZone, startZones: zones, done }, valueBytes);
-  return Buffer.byteLength(JSON.stringify(value)) <= valueBytes - SPARE_BYTES;
+  return storedBytes(value) <= valueBytes - SPARE_BYTES;
 }
 
 /** Returns null if the value is not a valid job record of this version. Callers ignore such a value. */
--- a/src/core/requests/job_submission.ts
+++ b/src/core/requests/job_submission.ts
@@ -2,7 +2,7 @@
 import type { JobCache } from '../jobs/job_cache.js';
 import { RangeSet } from '../jobs/range_set.js';
 import type { StateStoreResultOf } from '../messages.js';
-import { encodeJob, type JobRecord, jobKey } from '../records.js';
+import { encodeJob, type JobRecord, jobKey, storedBytes } from '../records.js';
 import type { StepContext } from '../step_context.js';
 import { ABSENT_VERSION, type JobId, type JobSpec, type MonotonicTime } from '../types.js';
 import type { JobReader } from './job_reader.js';
@@ -36,7 +36,7 @@
     const { id } = spec;
     const { maxValueBytes } = this.context.settings.stateStore;
     const entry: NewEntry = { id, key: jobKey(id), value: encodeJob(this.newRecord(spec), maxValueBytes) };
-    if (JSON.stringify(entry.value).length > maxValueBytes - this.reservedBytes()) return false;
+    if (storedBytes(entry.value) > maxValueBytes - this.reservedBytes()) return false;
     this.write(entry, continuation);
     return true;
   }
@@ -84,7 +84,7 @@
 
   /** Returns the number of bytes by which a record may grow when its first start and its start zones are recorded. */
   private reservedBytes(): number {
-    return RESERVED_BYTES + JSON.stringify(this.context.settings.zones).length;
+    return RESERVED_BYTES + storedBytes(this.context.settings.zones);
   }
 
   private newRecord(spec: JobSpec): JobRecord {
--- a/test/core/machines/machine_registry.test.ts
+++ b/test/core/machines/machine_registry.test.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 import { MachineRegistry } from '../../../src/core/machines/machine_registry.js';
-import { encodePage, type MachineRecord } from '../../../src/core/records.js';
-import type { MonotonicTime } from '../../../src/core/types.js';
+import { encodePage, type MachineRecord, storedBytes } from '../../../src/core/records.js';
+import type { ImageName, MonotonicTime } from '../../../src/core/types.js';
 import { revision } from '../../../src/core/types.js';
+import { makeJobSpec } from '../../sim/job_options.js';
 import { makeMachine } from '../../support/machine_fixtures.js';
 
 describe('MachineRegistry', () => {
@@ -35,4 +36,23 @@
     registry.remove(restored.id);
     assert.equal(registry.duePages(0 as MonotonicTime, true).length, 1);
   });
+
+  test('keeps pages within the limit in bytes, also if machines have images with names outside ASCII', () => {
+    const maxBytes = 2048;
+    const registry = new MachineRegistry(maxBytes);
+    const now = 0 as MonotonicTime;
+    for (let i = 0; i < 12; i++) {
+      const machine = makeMachine(`i-${i}`, `10.0.0.${i}:9000`, 'up', now, false);
+      const image = `${'زيتون'.repeat(8)}-${i}` as ImageName;
+      machine.images.onPresent({ ...makeJobSpec('job-1', 'array', {}), image }, now);
+      registry.add(machine);
+    }
+    const pages = registry.duePages(now, true);
+    assert.ok(pages.length > 0);
+    for (const page of pages) {
+      const { change, bytes } = registry.beginWrite(page, now);
+      assert.equal(bytes, storedBytes('put' in change ? change.value : null));
+      assert.ok(bytes <= maxBytes, `${bytes} bytes`);
+    }
+  });
 });
--- a/test/sim/state_store.ts
+++ b/test/sim/state_store.ts
@@ -26,6 +26,13 @@
 const readsJobs = (op: StateStoreOperation): boolean =>
   ((op.op === 'watch' || op.op === 'list') && op.prefix === 'j/') || (op.op === 'get' && op.key.startsWith('j/'));
 
+/** Maximum size of a transaction in bytes of its JSON form. */
+const MAX_TRANSACTION_BYTES = 64 * 1024;
+
+/** Returns the size of a value in bytes of its JSON form. */
+const jsonBytes = (value: unknown): number =>
+  Buffer.byteLength(JSON.stringify(value, (_, field) => (typeof field === 'bigint' ? Number(field) : field)));
+
 /** Delay between the end of a lease and the check that deletes its keys, in milliseconds. */
 const EXPIRY_CHECK_DELAY_MS = 50;
 
@@ -59,7 +66,7 @@
   readonly jobReadsRefusedFor = new Set<string>();
   /** The number of keys that transactions wrote or deleted. */
   changesApplied = 0;
-  /** The length of the longest value in the transactions within the limits, in characters of its JSON form. */
+  /** The size of the longest value in the transactions within the limits, in bytes of its JSON form. */
   largestValueLength = 0;
   /** Called after a transaction with the keys that it changed. */
   onChanged: (keys: readonly string[]) => void = () => {};
@@ -248,9 +255,9 @@
     const tooMany =
       op.changes.length > this.limits.maxChangesPerTransaction ||
       op.conditions.length > 4 * this.limits.maxChangesPerTransaction;
-    const valueLengths = op.changes.map((change) => ('put' in change ? JSON.stringify(change.value).length : 0));
+    const valueLengths = op.changes.map((change) => ('put' in change ? jsonBytes(change.value) : 0));
     const longestValue = Math.max(0, ...valueLengths);
-    if (tooMany || longestValue > this.limits.maxValueBytes) {
+    if (tooMany || longestValue > this.limits.maxValueBytes || jsonBytes(op) > MAX_TRANSACTION_BYTES) {
       this.onOversizedTransaction(from);
       return failure('invalidRequest');
     }
