The HTTP adapter leaves no timers behind when the server is closed

Traced: when a connection ends before its request body, the adapter starts two timers in a row to drain the body; the test sees the second one if it looks in between.

Bodies are read or drained in body.ts, and Node's server discards what a handler leaves.

--- a/src/io/http/http_server.ts
+++ b/src/io/http/http_server.ts
@@ -59,7 +59,9 @@
 export function createHttpServer(handlers: RequestHandlers, maxConnections: number): Server {
   // The adapter replaces the global Response by its own lightweight class, whose body is sent in one write. Node's
   // Response uses a web stream, which would cost a quarter as much as processing a whole heartbeat.
-  const listener = getRequestListener(createRoutes(handlers).fetch);
+  // Request bodies are read or drained here (body.ts) or discarded by Node's server. The adapter's own cleanup would
+  // leave timers behind when the server is closed.
+  const listener = getRequestListener(createRoutes(handlers).fetch, { autoCleanupIncoming: false });
   const inboundSockets = Math.max(MIN_INBOUND_SOCKETS, Math.floor(maxConnections * INBOUND_SOCKET_SHARE));
   const openConnections = { count: 0 };
   const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true }, (request, response) => {
