Memory follows the jobs that have not ended

Cause: controllers kept every record that they had ever seen, a leader kept a larger object for each, and a new leader read all records into one list.

Change: the job cache keeps unfinished jobs, and ended ones for 5 to 10 min; jobs that were done before all records were read aren't kept at all, and an outdated unfinished record of one is told by the revision of that read. A leader's table drops settled jobs after 1 to 2 min. Records are taken over page by page. Tasks reported of jobs that are no longer known are looked up, as those of suspected orphans.

--- a/src/core/clients/state_store_reads.ts
+++ b/src/core/clients/state_store_reads.ts
@@ -6,20 +6,26 @@
 const PAGE_SIZE = 500;
 const READ_PRIORITY = 1;
 
-/** All entries under a prefix. */
-export interface PrefixRead {
+/** One page of the entries under a prefix, in the order of their keys. */
+export interface EntryPage {
   readonly items: readonly StoredEntry[];
-  /** Revision of the first page. A watch from it also returns the changes made while later pages were read. */
+  /**
+   * Revision of the first page of the read. The entries are as of this revision or later. A watch from it also returns
+   * the changes made while later pages were read.
+   */
   readonly revision: Revision;
 }
 
-/** Reads all entries under a prefix. `done` is called with null if one of the calls failed. */
+/**
+ * Reads all entries under a prefix, and passes each page on. `done` is called with the revision of the first page, or
+ * null if one of the calls failed.
+ */
 export function readPrefix(
   stateStore: StateStoreClient,
   prefix: string,
-  done: (read: PrefixRead | null) => void,
+  onPage: (page: EntryPage) => void,
+  done: (revision: Revision | null) => void,
 ): void {
-  const items: StoredEntry[] = [];
   let revision: Revision | null = null;
   const readPage = (after: string | null): void => {
     stateStore.call({ op: 'list', prefix, after, limit: PAGE_SIZE }, READ_PRIORITY, (result) => {
@@ -27,11 +33,12 @@
         done(null);
         return;
       }
-      items.push(...result.value.items);
+      const { items, more } = result.value;
       revision ??= result.value.revision;
+      onPage({ items, revision });
       const last = items[items.length - 1];
-      if (result.value.more && last) readPage(last.key);
-      else done({ items, revision });
+      if (more && last) readPage(last.key);
+      else done(revision);
     });
   };
   readPage(null);
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -80,7 +80,7 @@
     this.requestForwarding = new RequestForwarding(context, this.peers, ids);
     this.heartbeatForwarding = new HeartbeatForwarding(context, this.peers, ids);
     this.cancellationBroadcasts = new CancellationBroadcasts(context, this.peers, ids);
-    this.jobCache = new JobCache(context, (job) => this.leader?.onJobRecord(job));
+    this.jobCache = new JobCache(context, (record, version) => this.leader?.onJobRecord(record, version));
     this.catalog = new MachineTypeCatalog(context, (types) => this.leader?.setMachineTypes(types));
     this.election = this.makeElection(incarnation);
     this.heartbeatRouter = new HeartbeatRouter(
--- a/src/core/jobs/job_cache.ts
+++ b/src/core/jobs/job_cache.ts
@@ -1,11 +1,13 @@
 /** Keeps a controller's copy of the job records up to date by watching the state store. */
-import { type PrefixRead, readPrefix } from '../clients/state_store_reads.js';
+import { type EntryPage, readPrefix } from '../clients/state_store_reads.js';
+import { ExpiringMap } from '../expiring_map.js';
 import { CLOCK_DRIFT, maxJobViewAgeMs } from '../lease_bounds.js';
 import type { StateStoreResponses, StateStoreResultOf, StoredEntry, WatchEvent } from '../messages.js';
-import { decodeJob, JOB_PREFIX, type JobRecord } from '../records.js';
+import { decodeJob, JOB_PREFIX, type JobRecord, type JobState, jobKey } from '../records.js';
 import type { StepContext } from '../step_context.js';
 import type { Timer } from '../timers.js';
 import { addMilliseconds, type JobId, type MonotonicTime, type Revision } from '../types.js';
+import { ImageUsage } from './image_usage.js';
 
 /** How long a follower's watch waits at the state store for events, in milliseconds. */
 const FOLLOWER_WATCH_WAIT_MS = 4000;
@@ -27,24 +29,66 @@
 const WATCH_RETRY_MS = 250;
 const READ_RETRY_MS = 300;
 
-/** A job's record, and the version of its key at which it was read. */
-export interface CachedJob {
-  readonly record: JobRecord;
+/**
+ * How long a job is kept after its end, in milliseconds. Until then the responses to all calls that were sent before the
+ * end have arrived, and the tasks of a cancelled job are gone.
+ */
+const ENDED_RETENTION_MS = 300_000;
+
+/** The parts of a job's record that responses to users depend on. */
+export interface JobSummary {
+  readonly id: JobId;
+  readonly state: JobState;
+  /** The term in which the leader first permitted a start of its tasks. 0 if none was permitted yet. */
+  readonly startTerm: number;
+  /** Number of tasks whose completion is stored. */
+  readonly doneTasks: number;
+}
+
+/** What a controller knows of a job's record. */
+export type CachedJob = JobSummary & {
+  /** The version of its key at which the record was read. */
   readonly version: Revision;
   /** When this controller learned of the version. */
   readonly knownSince: MonotonicTime;
+} & (
+    | { readonly state: 'accepted' | 'cancelled'; readonly record: JobRecord }
+    // Nothing else of a job is needed once it is done.
+    | { readonly state: 'done'; readonly record: null }
+  );
+
+/** Returns the summary of a job with this record. */
+export const summaryOf = ({ spec, state, startTerm, done }: JobRecord): JobSummary => ({
+  id: spec.id,
+  state,
+  startTerm,
+  doneTasks: done.count,
+});
+
+/** How far a read of all records has come. */
+interface ReadProgress {
+  /** The records are as of this revision or later. */
+  readonly revision: Revision;
+  /** The last key that was read. Null if the read is complete. */
+  readonly lastKey: string | null;
 }
 
 /** Called with whether a read of all records succeeded. */
 type OnRead = (succeeded: boolean) => void;
 
 /**
- * A controller's copy of the job records. It may lag behind the state store, so only final states are reported from the
- * copy alone. It saves reads because one compare-only transaction can then confirm many records at once
- * (linearizable_reads.ts).
+ * A controller's copy of the records of jobs that have not ended, and of those that ended a short time ago. It may lag
+ * behind the state store, so only final states are reported from the copy alone. It saves reads because one compare-only
+ * transaction can then confirm many records at once (linearizable_reads.ts). The records of all other jobs stay in the
+ * state store, where there may be any number of them.
  */
 export class JobCache {
-  private readonly jobs = new Map<JobId, CachedJob>();
+  /** The images of all jobs whose records were read. */
+  readonly images = new ImageUsage();
+  private readonly accepted = new Map<JobId, CachedJob>();
+  private readonly ended = new ExpiringMap<JobId, CachedJob>(ENDED_RETENTION_MS);
+  /** The last complete read of all records, and what has been read since then. */
+  private reads: ReadProgress[] = [];
   /** Jobs whose stored records cannot be decoded. A later release may have written them. */
   private readonly unreadableIds = new Set<JobId>();
   /** The revision from which the watch continues. Null if all records have to be read first. */
@@ -58,10 +102,13 @@
   private readonly leaderWatchWaitMs: number;
   private asOf = Number.NEGATIVE_INFINITY as MonotonicTime;
 
-  /** `onRecord` is called with each record that is newer than the known one. */
+  /**
+   * `onRecord` is called with each record that is newer than the known one, except those of jobs that had ended before
+   * all records were read.
+   */
   constructor(
     private readonly context: StepContext,
-    private readonly onRecord: (job: CachedJob) => void,
+    private readonly onRecord: (record: JobRecord, version: Revision) => void,
   ) {
     this.watchTimer = context.timers.create(() => this.watchOrReadAll());
     // A short `cancel_s` requires a fresher view of the jobs, and therefore shorter watches (tight-cancel.txt).
@@ -81,19 +128,20 @@
     return this.unreadableIds;
   }
 
-  /** Returns undefined for a job without a known record. */
+  /** Returns undefined for a job without a known record. The state store may hold one if the job has ended. */
   get(id: JobId): CachedJob | undefined {
-    return this.jobs.get(id);
+    return this.accepted.get(id) ?? this.ended.get(id);
   }
 
-  /** Returns all jobs, in no particular order. */
-  all(): Iterable<CachedJob> {
-    return this.jobs.values();
+  /** Returns the jobs of which tasks may be on machines, in no particular order. */
+  *jobsWithTasks(): Iterable<CachedJob> {
+    yield* this.accepted.values();
+    for (const job of this.ended.values()) if (job.state === 'cancelled') yield job;
   }
 
   /** Number of known jobs. */
   get size(): number {
-    return this.jobs.size;
+    return this.accepted.size + this.ended.size;
   }
 
   /** Sets whether this controller leads. A leader watches more often. */
@@ -118,14 +166,30 @@
     this.readInFlight = true;
     this.rereadRequested = false;
     const sentAt = this.context.now.monotonic;
-    readPrefix(this.context.stateStore, JOB_PREFIX, (read) => {
-      if (read) this.onAllRead(read, sentAt);
-      this.onReadDone(read !== null);
+    const readsBefore = this.reads;
+    const onPage = (page: EntryPage): void => {
+      this.onPageRead(page);
+      const lastKey = page.items.at(-1)?.key;
+      if (lastKey !== undefined) this.reads = [...readsBefore, { revision: page.revision, lastKey }];
+    };
+    readPrefix(this.context.stateStore, JOB_PREFIX, onPage, (revision) => {
+      if (revision !== null) this.onAllRead(revision, sentAt);
+      this.onReadDone(revision !== null);
     });
   }
 
-  private onAllRead({ items, revision }: PrefixRead, sentAt: MonotonicTime): void {
-    for (const item of items) this.update(item);
+  private onPageRead({ items, revision }: EntryPage): void {
+    for (const item of items) {
+      const record = this.decode(item);
+      if (!record) continue;
+      const isUnchangedSince = item.version <= revision;
+      if (isUnchangedSince && !this.get(record.spec.id) && hasNoTasks(record)) continue;
+      this.updateRecord(record, item.version);
+    }
+  }
+
+  private onAllRead(revision: Revision, sentAt: MonotonicTime): void {
+    this.reads = [{ revision, lastKey: null }];
     if (this.watchRevision === null || revision > this.watchRevision) this.watchRevision = revision;
     if (sentAt > this.asOf) this.asOf = sentAt;
   }
@@ -143,6 +207,7 @@
   }
 
   private scheduleNextWatch(ms: number): void {
+    this.ended.expire(this.context.now.monotonic);
     if (this.watchInFlight && this.watchRevision !== null) return;
     this.watchTimer.set(this.context.after(ms));
   }
@@ -192,22 +257,62 @@
 
   /**
    * Applies a current or past version of a stored record, unless that version or a newer one is known. Returns the
-   * newest known version, or null if the record cannot be decoded.
+   * newest known version, or null if the record cannot be decoded or is outdated.
    */
   update(item: StoredEntry): CachedJob | null {
     const id = item.key.slice(JOB_PREFIX.length) as JobId;
-    const known = this.jobs.get(id);
+    const known = this.get(id);
     if (known && known.version >= item.version) return known;
+    const record = this.decode(item);
+    if (!record || (!known && this.isOutdated(record, item.version))) return null;
+    return this.updateRecord(record, item.version);
+  }
+
+  /**
+   * Returns whether an unknown job has ended since this version of its record. If the job had not ended when all records
+   * were read, it would be known.
+   */
+  private isOutdated({ spec, state }: JobRecord, version: Revision): boolean {
+    if (state !== 'accepted') return false;
+    const key = jobKey(spec.id);
+    return this.reads.some(({ revision, lastKey }) => version <= revision && (lastKey === null || key <= lastKey));
+  }
+
+  private decode(item: StoredEntry): JobRecord | null {
+    const id = item.key.slice(JOB_PREFIX.length) as JobId;
     const record = decodeJob(item.value);
-    if (!record) {
-      if (!this.unreadableIds.has(id)) this.context.log('job record not understood', { key: item.key });
-      this.unreadableIds.add(id);
-      return null;
+    if (record) {
+      this.unreadableIds.delete(id);
+      this.images.record(record.spec);
+      return record;
     }
-    this.unreadableIds.delete(id);
-    const job = { record, version: item.version, knownSince: this.context.now.monotonic };
-    this.jobs.set(id, job);
-    this.onRecord(job);
+    if (!this.unreadableIds.has(id)) this.context.log('job record not understood', { key: item.key });
+    this.unreadableIds.add(id);
+    return null;
+  }
+
+  private updateRecord(record: JobRecord, version: Revision): CachedJob {
+    const { id } = record.spec;
+    const known = this.get(id);
+    if (known && known.version >= version) return known;
+    const job = cachedJob(record, version, this.context.now.monotonic);
+    if (job.state === 'accepted') {
+      this.accepted.set(id, job);
+    } else {
+      this.accepted.delete(id);
+      this.ended.set(id, job);
+    }
+    this.onRecord(record, version);
     return job;
   }
 }
+
+function cachedJob(record: JobRecord, version: Revision, knownSince: MonotonicTime): CachedJob {
+  const { state } = record;
+  const known = { ...summaryOf(record), version, knownSince };
+  return state === 'done' ? { ...known, state, record: null } : { ...known, state, record };
+}
+
+/** Returns whether the job has ended and none of its tasks can be on a machine. */
+const hasNoTasks = ({ state, startTerm }: JobRecord): boolean =>
+  state === 'done' || (state === 'cancelled' && startTerm === 0);
--- a/src/core/leadership/leader.ts
+++ b/src/core/leadership/leader.ts
@@ -2,15 +2,16 @@
 import type { RecoverySummary } from '../../recovery/index.js';
 import { Autoscaler } from '../autoscaling/autoscaler.js';
 import { HealthChecks } from '../health/health_checks.js';
-import type { CachedJob, JobCache } from '../jobs/job_cache.js';
+import type { JobCache } from '../jobs/job_cache.js';
 import type { Machine } from '../machines/machine.js';
 import { MachineRegistry } from '../machines/machine_registry.js';
 import type { MachineTypes } from '../machines/machine_type_catalog.js';
 import type { StoredEntry, TaskCounts } from '../messages.js';
+import type { JobRecord } from '../records.js';
 import { Cluster } from '../state/cluster.js';
 import type { StepContext } from '../step_context.js';
 import type { Timer } from '../timers.js';
-import type { Heartbeat, JobId, MachineId, MonotonicTime } from '../types.js';
+import type { Heartbeat, JobId, MachineId, MonotonicTime, Revision } from '../types.js';
 import { CommandDelivery } from '../workers/command_delivery.js';
 import { type CommandLeader, CommandPusher } from '../workers/command_pusher.js';
 import { FencingTokens } from '../workers/fencing_tokens.js';
@@ -85,7 +86,7 @@
   ) {
     const tokens = new FencingTokens(leadership.fencingToken, () => context.stateStore.newestRevision);
     this.electedAt = context.now.monotonic;
-    this.cluster = new Cluster(context, leadership.term, leadership.startZonesRecordedSince);
+    this.cluster = new Cluster(context, leadership.term, leadership.startZonesRecordedSince, jobCache.images);
     this.cluster.machineTypes = types;
     this.healthCheckTimer = this.cluster.timers.create(() => this.runHealthChecks());
     this.statusRequestTimer = this.cluster.timers.create(() => this.requestAllStatuses());
@@ -100,7 +101,9 @@
     this.autoscaler = new Autoscaler(this.cluster, this.recordWriter);
     this.planningRounds = this.makePlanningRounds(seed);
     this.jobView = new JobView(context, jobCache);
-    this.jobRecordLookup = new JobRecordLookup(context, jobCache, this.cluster.previousTerms);
+    this.jobRecordLookup = new JobRecordLookup(context, jobCache, this.cluster.previousTerms, (record, version) =>
+      this.applyJobRecord(record, version),
+    );
     this.loadingLimit = new LoadingLimit(context, {
       hasRecentJobView: () => this.hasRecentJobView(),
       isAnyPeerAbleToLead,
@@ -176,7 +179,7 @@
 
   /** Returns whether the job is known to be cancelled, by its record or by a broadcast. */
   isCancelled(job: JobId): boolean {
-    return this.cluster.jobs.isCancelled(job) || this.jobCache.get(job)?.record.state === 'cancelled';
+    return this.cluster.jobs.isCancelled(job) || this.jobCache.get(job)?.state === 'cancelled';
   }
 
   /** Returns whether the view of jobs is recent enough to start tasks. */
@@ -233,11 +236,18 @@
   // ---- jobs
 
   /** Applies a newer job record from the cache, caused by a submission, a cancellation or a write of this leader. */
-  onJobRecord(job: CachedJob): void {
+  onJobRecord(record: JobRecord, version: Revision): void {
+    const { id } = record.spec;
+    // A job that has ended before it became known here has no tasks that this leader started.
+    if (record.state !== 'accepted' && !this.cluster.jobs.get(id)) this.cluster.jobs.forgetCancellation(id);
+    else this.applyJobRecord(record, version);
+  }
+
+  private applyJobRecord(record: JobRecord, version: Revision): void {
     if (this.state !== 'active') return;
-    const known = this.cluster.jobs.get(job.record.spec.id);
-    if (known && known.stored.version >= job.version) return;
-    this.cluster.applyJobRecord(job.record, job.version);
+    const known = this.cluster.jobs.get(record.spec.id);
+    if (known && known.stored.version >= version) return;
+    this.cluster.applyJobRecord(record, version);
     this.schedulePlanningRoundSoon();
   }
 
@@ -290,6 +300,7 @@
       return;
     }
     this.healthChecks.run();
+    this.cluster.jobs.expireSettled(this.context.now.monotonic);
     this.cluster.previousTerms.finishIfReconciled();
     this.statusRequests.probe();
     this.autoscaler.runScaleIn(this.electedAt);
--- a/src/core/leadership/state_loader.ts
+++ b/src/core/leadership/state_loader.ts
@@ -5,6 +5,7 @@
 import { MACHINE_PREFIX } from '../records.js';
 import type { StepContext } from '../step_context.js';
 import type { Timer, TimerFactory } from '../timers.js';
+import type { Revision } from '../types.js';
 
 const RETRY_MS = 300;
 
@@ -65,17 +66,19 @@
   load(): void {
     if (this.state.kind !== 'idle') return;
     this.state = READING;
-    let pages: readonly StoredEntry[] | null = null;
+    const pages: StoredEntry[] = [];
+    let pagesRead = false;
     let jobsRead = false;
     const onPart = (ok: boolean): void => {
       if (this.state.kind !== 'reading') return;
       if (!ok) this.retry();
-      else if (pages !== null && jobsRead) this.onRecordsRead(pages);
+      else if (pagesRead && jobsRead) this.onRecordsRead(pages);
     };
-    readPrefix(this.context.stateStore, MACHINE_PREFIX, (read) => {
-      pages = read?.items ?? null;
-      onPart(read !== null);
-    });
+    const onMachinesRead = (revision: Revision | null): void => {
+      pagesRead = revision !== null;
+      onPart(pagesRead);
+    };
+    readPrefix(this.context.stateStore, MACHINE_PREFIX, ({ items }) => pages.push(...items), onMachinesRead);
     this.jobCache.read((ok) => {
       jobsRead = ok;
       onPart(ok);
--- a/src/core/leadership/state_restorer.ts
+++ b/src/core/leadership/state_restorer.ts
@@ -20,11 +20,13 @@
     private readonly lastLeaseRenewalAt: (machine: MachineId) => MonotonicTime,
   ) {}
 
-  /** Adds the jobs in the cache and the machines on the registry's pages to the cluster. */
+  /** Adds the jobs in the cache that may have tasks, and the machines on the registry's pages to the cluster. */
   restore(pages: readonly StoredEntry[]): void {
     const { context, previousTerms, machines } = this.cluster;
     this.cluster.jobs.setUnreadable(this.jobCache.unreadableJobs);
-    for (const job of this.jobCache.all()) this.cluster.applyJobRecord(job.record, job.version);
+    for (const { record, version } of this.jobCache.jobsWithTasks()) {
+      if (record !== null) this.cluster.applyJobRecord(record, version);
+    }
     for (const item of pages) this.restorePage(item);
     this.registry.splitOversizedPages();
     const unreadableJobs = this.jobCache.unreadableJobs.size;
@@ -70,7 +72,7 @@
     // booting (boots-leader-change.txt), but it may also have come up just now, so it counts as unreconciled.
     const phase = address === '' ? 'booting' : 'up';
     const machine = new Machine({ id, type, zone, spot, address, reconciled: false, phase, now });
-    machine.images.restore(record.images, record.imagePullSpeed, images.sizesGb, now);
+    machine.images.restore(record.images, record.imagePullSpeed, (image) => images.sizeGb(image), now);
     if (previousTerms.recovery) machine.messages.restoreLeaseRenewal(this.lastLeaseRenewalAt(id));
     machines.add(machine);
     this.registry.restore(machine, key);
--- a/src/core/machines/image_cache.ts
+++ b/src/core/machines/image_cache.ts
@@ -75,16 +75,16 @@
     return present.sort((a, b) => a[1].lastUsedAt - b[1].lastUsedAt).map(([name]) => name);
   }
 
-  /** Restores the stored images and pull speed. Images whose size is not in `sizesGb` are left out. */
+  /** Restores the stored images and pull speed. Images whose size is unknown are left out. */
   restore(
     names: readonly ImageName[],
     speed: number,
-    sizesGb: ReadonlyMap<ImageName, number>,
+    sizeGbOf: (name: ImageName) => number | undefined,
     now: MonotonicTime,
   ): void {
     this.speed = speed;
     for (const name of names) {
-      const sizeGb = sizesGb.get(name);
+      const sizeGb = sizeGbOf(name);
       if (sizeGb === undefined || this.images.has(name)) continue;
       this.images.set(name, { sizeGb, lastUsedAt: now, pullingSince: null, pullObserved: false });
     }
--- a/src/core/requests/final_responses.ts
+++ b/src/core/requests/final_responses.ts
@@ -38,7 +38,7 @@
   private dueAt(response: UserResponse): MonotonicTime | null {
     const isFinal = 'jobStatus' in response && isFinalStatus(response.jobStatus);
     const known = isFinal ? this.jobCache.get(response.id) : undefined;
-    return known && known.record.state !== 'accepted' ? addMilliseconds(known.knownSince, FINAL_STATE_DELAY_MS) : null;
+    return known && known.state !== 'accepted' ? addMilliseconds(known.knownSince, FINAL_STATE_DELAY_MS) : null;
   }
 
   private sendDue(): void {
--- a/src/core/requests/job_cancellation.ts
+++ b/src/core/requests/job_cancellation.ts
@@ -1,9 +1,9 @@
 /** Persists the cancellation of a job, and notifies the leader before the user receives the confirmation. */
-import type { CachedJob, JobCache } from '../jobs/job_cache.js';
+import { type CachedJob, type JobCache, type JobSummary, summaryOf } from '../jobs/job_cache.js';
 import { type StateStoreResultOf, wasNotExecuted } from '../messages.js';
 import { encodeJob, type JobRecord, jobKey } from '../records.js';
 import type { StepContext } from '../step_context.js';
-import type { JobId } from '../types.js';
+import type { JobId, Revision } from '../types.js';
 import type { JobReader } from './job_reader.js';
 import { JOB_NOT_FOUND, type RequestContinuation } from './responses.js';
 
@@ -54,22 +54,22 @@
   }
 
   private cancelKnown(job: CachedJob, continuation: RequestContinuation, attempt: number): void {
-    switch (job.record.state) {
+    switch (job.state) {
       case 'cancelled':
         // An earlier attempt may have persisted the cancellation although its reply was lost. The leader may not know
         // of it yet.
-        this.respondCancelled(job.record, continuation);
+        this.respondCancelled(job, continuation);
         return;
       case 'done':
-        continuation.respond(this.reader.statusResponse(job.record));
+        continuation.respond(this.reader.statusResponse(job));
         return;
       case 'accepted':
-        this.write(job, continuation, attempt);
+        this.write(job.record, job.version, continuation, attempt);
         return;
     }
   }
 
-  private write({ record, version }: CachedJob, continuation: RequestContinuation, attempt: number): void {
+  private write(record: JobRecord, version: Revision, continuation: RequestContinuation, attempt: number): void {
     const cancelled: JobRecord = { ...record, state: 'cancelled' };
     const key = jobKey(record.spec.id);
     const value = encodeJob(cancelled, this.context.settings.stateStore.maxValueBytes);
@@ -90,7 +90,7 @@
     const { key, value, record, attempt } = entry;
     if (result.ok) {
       this.jobCache.update({ key, value, version: result.value.revision });
-      this.respondCancelled(record, continuation);
+      this.respondCancelled(summaryOf(record), continuation);
       return;
     }
     // If another controller has changed the record meanwhile, or the outcome is unknown, the record is read again.
@@ -98,7 +98,7 @@
     else this.readAndCancel(record.spec.id, continuation, attempt + 1);
   }
 
-  private respondCancelled(record: JobRecord, { respond }: RequestContinuation): void {
-    this.broadcast(record.spec.id, () => respond(this.reader.statusResponse(record)));
+  private respondCancelled(job: JobSummary, { respond }: RequestContinuation): void {
+    this.broadcast(job.id, () => respond(this.reader.statusResponse(job)));
   }
 }
--- a/src/core/requests/job_reader.ts
+++ b/src/core/requests/job_reader.ts
@@ -1,7 +1,7 @@
 /** Reads single job records from the state store, and converts them into responses to users. */
-import type { CachedJob, JobCache } from '../jobs/job_cache.js';
+import type { CachedJob, JobCache, JobSummary } from '../jobs/job_cache.js';
 import type { JobStatus, TaskCounts, UserResponse } from '../messages.js';
-import { type JobRecord, jobKey } from '../records.js';
+import { jobKey } from '../records.js';
 import type { StepContext } from '../step_context.js';
 import type { JobId, MonotonicTime } from '../types.js';
 import type { RequestContinuation } from './responses.js';
@@ -37,26 +37,23 @@
     private readonly taskCounts: (id: JobId) => TaskCounts | null,
   ) {}
 
-  /** Returns the status response for a job with this record. */
-  statusResponse(record: JobRecord): UserResponse {
-    const { id } = record.spec;
-    if (record.state !== 'accepted') {
-      return { status: 200, id, jobStatus: record.state, done: record.done.count, running: 0 };
-    }
+  /** Returns the status response for a job. */
+  statusResponse({ id, state, startTerm, doneTasks }: JobSummary): UserResponse {
+    if (state !== 'accepted') return { status: 200, id, jobStatus: state, done: doneTasks, running: 0 };
     const counts = this.taskCounts(id);
-    const isStarted = counts ? counts.running > 0 : record.startTerm > 0;
+    const isStarted = counts ? counts.running > 0 : startTerm > 0;
     const jobStatus: JobStatus = isStarted ? 'running' : 'queued';
-    return { status: 200, id, jobStatus, done: counts?.done ?? record.done.count, running: counts?.running ?? 0 };
+    return { status: 200, id, jobStatus, done: counts?.done ?? doneTasks, running: counts?.running ?? 0 };
   }
 
   /** Reads the job's record from the state store and responds with its state. */
   respond(query: StatusQuery): void {
     const { id, respond, responseIfMissing, onUnavailable } = query;
     this.read(id, {
-      onFound: ({ record }, sentAt) => {
-        const isOutdated = record.state === 'accepted' && this.isTooOld(sentAt);
+      onFound: (job, sentAt) => {
+        const isOutdated = job.state === 'accepted' && this.isTooOld(sentAt);
         if (isOutdated) this.confirmAgain(query, (again) => this.respond(again));
-        else respond(this.statusResponse(record), sentAt);
+        else respond(this.statusResponse(job), sentAt);
       },
       onMissing: () => respond(responseIfMissing),
       onUnavailable,
--- a/src/core/requests/linearizable_reads.ts
+++ b/src/core/requests/linearizable_reads.ts
@@ -87,7 +87,7 @@
       const job = this.jobCache.get(query.id);
       if (batched) batched.queries.push(query);
       else if (!job) this.reader.respond(query);
-      else if (job.record.state !== 'accepted') query.respond(this.reader.statusResponse(job.record));
+      else if (job.state !== 'accepted') query.respond(this.reader.statusResponse(job));
       else if (batch.size < limit) batch.set(query.id, { job, queries: [query] });
       else later.push(query);
     }
@@ -114,7 +114,7 @@
     for (const { job, queries } of batch.values()) {
       for (const query of queries) {
         if (isTooOld) this.reader.confirmAgain(query, (again) => this.enqueue(again));
-        else query.respond(this.reader.statusResponse(job.record), sentAt);
+        else query.respond(this.reader.statusResponse(job), sentAt);
       }
     }
   }
--- a/src/core/requests/request_handler.ts
+++ b/src/core/requests/request_handler.ts
@@ -77,8 +77,8 @@
   /** Handles a request. `respond` is called now or later, within the time that users wait. */
   handle(request: UserRequest, respond: Respond, origin: RequestOrigin): void {
     const known = this.jobCache.get(request.id);
-    if (known && known.record.state !== 'accepted') {
-      respond(this.reader.statusResponse(known.record));
+    if (known && known.state !== 'accepted') {
+      respond(this.reader.statusResponse(known));
       return;
     }
     const submission = request.op === 'submit' ? this.validate(request) : null;
--- a/src/core/scheduler/cluster_state.ts
+++ b/src/core/scheduler/cluster_state.ts
@@ -1,4 +1,5 @@
 /** Interfaces to the leader's state. Scheduling decisions read it, and `apply.ts` carries them out. */
+import type { ImageUsage } from '../jobs/image_usage.js';
 import type { RuntimeEstimator } from '../jobs/runtime_estimator.js';
 import type { BootTimeEstimator } from '../machines/boot_time_estimator.js';
 import type { MachineTypes } from '../machines/machine_type_catalog.js';
@@ -10,7 +11,7 @@
 import type { PreviousTerms } from '../state/previous_terms.js';
 import type { Quotas } from '../state/quotas.js';
 import type { StepContext } from '../step_context.js';
-import type { Attempt, ImageName, Resources } from '../types.js';
+import type { Attempt } from '../types.js';
 
 /**
  * The state that scheduling decisions read. They do not change it, except that `startableTaskCount` updates whether
@@ -27,10 +28,7 @@
   readonly runtimeEstimator: Pick<RuntimeEstimator, 'expectedSeconds'>;
   readonly bootTimeEstimator: Pick<BootTimeEstimator, 'remainingSeconds'>;
   readonly spotInterruptions: Pick<SpotInterruptionRate, 'perSecond'>;
-  readonly images: {
-    /** Resources of the largest task seen for each image. */
-    readonly largestTasks: ReadonlyMap<ImageName, Resources>;
-  };
+  readonly images: Pick<ImageUsage, 'largestTask'>;
 }
 
 /** The state with the operations that apply decisions. Entry points pass this interface only to `apply.ts`. */
--- a/src/core/scheduler/machine_snapshot.ts
+++ b/src/core/scheduler/machine_snapshot.ts
@@ -103,7 +103,7 @@
 function largestCachedImageShare(cluster: ClusterState, machine: Machine): number {
   let largest = 0;
   for (const image of machine.images.presentImages()) {
-    const task = cluster.images.largestTasks.get(image);
+    const task = cluster.images.largestTask(image);
     if (task) largest = Math.max(largest, machineShare(task, machine.type));
   }
   return largest;
--- a/src/core/state/cluster.ts
+++ b/src/core/state/cluster.ts
@@ -1,5 +1,6 @@
 /** The cluster state that a leader holds: jobs, machines, placements, quotas and estimates. */
 import type { ReconciledBy, StartZonesRecordedSince } from '../../recovery/index.js';
+import { ImageUsage } from '../jobs/image_usage.js';
 import { Job } from '../jobs/job.js';
 import type { ReleaseReason } from '../jobs/located_tasks.js';
 import { RuntimeEstimator } from '../jobs/runtime_estimator.js';
@@ -11,7 +12,6 @@
 import type { StepContext } from '../step_context.js';
 import type { Attempt, JobId, Revision } from '../types.js';
 import { AttemptNumbers } from './attempt_numbers.js';
-import { ImageUsage } from './image_usage.js';
 import { JobTable } from './job_table.js';
 import { MachineTable } from './machine_table.js';
 import { PendingCommands } from './pending_commands.js';
@@ -30,7 +30,6 @@
   readonly runtimeEstimator = new RuntimeEstimator();
   readonly bootTimeEstimator = new BootTimeEstimator();
   readonly spotInterruptions = new SpotInterruptionRate();
-  readonly images = new ImageUsage();
   readonly jobs = new JobTable();
   readonly timers: TermTimers;
   readonly machines: MachineTable;
@@ -48,6 +47,7 @@
     readonly context: StepContext,
     readonly term: number,
     startZonesRecordedSince: StartZonesRecordedSince = null,
+    readonly images: Pick<ImageUsage, 'sizeGb' | 'largestTask'> = new ImageUsage(),
   ) {
     const { jobs } = this;
     const attempts = new AttemptNumbers(term);
@@ -104,7 +104,6 @@
     this.previousTerms.onJobAdded(job, record.startZones);
     job.resetInactiveSince(this.context.now.monotonic);
     this.jobs.add(job);
-    this.images.record(job.spec);
     if (job.isService && job.state === 'accepted') this.servicePlacements.request();
   }
 
--- a/src/core/state/job_table.ts
+++ b/src/core/state/job_table.ts
@@ -1,6 +1,7 @@
-/** The jobs of a leader: all jobs with known records, and those that still need work. */
+/** The jobs of a leader: those that still need work, and those that ended a short time ago. */
+import { ExpiringMap } from '../expiring_map.js';
 import type { Job } from '../jobs/job.js';
-import type { JobId } from '../types.js';
+import type { JobId, MonotonicTime } from '../types.js';
 
 /**
  * Maximum number of remembered cancellations of jobs whose records are not known yet. Further ones take effect when the
@@ -8,9 +9,17 @@
  */
 const MAX_CANCELLED_BEFORE_RECORD = 10_000;
 
+/**
+ * How long a job is kept once nothing of it is left to write or stop, in milliseconds. Workers repeat the exits of its
+ * tasks until they are told that these are recorded. A job that is reported later is looked up in the state store.
+ */
+const SETTLED_RETENTION_MS = 60_000;
+
 /** Jobs by id, and the subsets of them that planning and record writing iterate over. */
 export class JobTable {
   private readonly byId = new Map<JobId, Job>();
+  /** Jobs that have ended and of which nothing is left to write or stop. */
+  private readonly settled = new ExpiringMap<JobId, Job>(SETTLED_RETENTION_MS);
   private readonly activeJobs = new Set<Job>();
   private readonly acceptedServices = new Set<Job>();
   private readonly cancelledBeforeRecord = new Set<JobId>();
@@ -28,12 +37,16 @@
 
   /** Returns undefined for a job whose record is not known. */
   get(id: JobId): Job | undefined {
-    return this.byId.get(id);
+    return this.byId.get(id) ?? this.settled.get(id);
   }
 
   /** Adds a job. Cancels it if its cancellation arrived before its record. */
   add(job: Job): void {
     if (this.cancelledBeforeRecord.delete(job.id)) job.cancel();
+    if (job.state !== 'accepted' && job.isSettled) {
+      this.settled.set(job.id, job);
+      return;
+    }
     this.byId.set(job.id, job);
     if (job.state !== 'accepted') return;
     this.activeJobs.add(job);
@@ -47,7 +60,7 @@
 
   /** Returns whether the job is known to be cancelled, even if its record is not known yet. */
   isCancelled(id: JobId): boolean {
-    return this.byId.get(id)?.state === 'cancelled' || this.cancelledBeforeRecord.has(id);
+    return this.get(id)?.state === 'cancelled' || this.cancelledBeforeRecord.has(id);
   }
 
   /**
@@ -55,12 +68,26 @@
    * stop.
    */
   activate(job: Job): void {
+    this.settled.delete(job.id);
+    this.byId.set(job.id, job);
     this.activeJobs.add(job);
   }
 
-  /** Removes the job from the active jobs if nothing of it is left to write or stop. */
+  /** Removes the job from the active jobs, and later from the table, if nothing of it is left to write or stop. */
   deactivateIfSettled(job: Job): void {
-    if (job.isSettled) this.activeJobs.delete(job);
+    if (!job.isSettled) return;
+    this.activeJobs.delete(job);
+    if (this.byId.delete(job.id)) this.settled.set(job.id, job);
+  }
+
+  /** Removes jobs that settled long ago. Must be called regularly. */
+  expireSettled(now: MonotonicTime): void {
+    this.settled.expire(now);
+  }
+
+  /** Forgets the cancellation of a job that has ended before its record became known. */
+  forgetCancellation(id: JobId): void {
+    this.cancelledBeforeRecord.delete(id);
   }
 
   /** Handles the end of a service, after which no more of its replicas are placed. Does nothing for other jobs. */
