Long waits go on behind the last job tried also if many began at the same time

Found while reading: jobs that became known in the same round have equal waits. If a call ended at its plan steps, the next one began with the same jobs again, so some that cannot be started (here: they avoid all machines) kept the others from being tried. The id breaks ties now. The new test in long_waits.test fails with the former order.

Second reading: what the cache keeps of a job is a module of its own (cached_job.ts); gang_reservation.test uses the shared fixtures.

--- a/src/core/jobs/job_cache.ts
+++ b/src/core/jobs/job_cache.ts
@@ -3,10 +3,11 @@
 import { ExpiringMap } from '../expiring_map.js';
 import { CLOCK_DRIFT, maxJobViewAgeMs } from '../lease_bounds.js';
 import type { StateStoreResponses, StateStoreResultOf, StoredEntry, WatchEvent } from '../messages.js';
-import { decodeJob, JOB_PREFIX, type JobRecord, type JobState, jobKey } from '../records.js';
+import { decodeJob, JOB_PREFIX, type JobRecord, jobKey } from '../records.js';
 import type { StepContext } from '../step_context.js';
 import type { Timer } from '../timers.js';
 import { addMilliseconds, type JobId, type MonotonicTime, type Revision } from '../types.js';
+import { type CachedJob, cachedJob, hasNoTasks } from './cached_job.js';
 import { ImageUsage } from './image_usage.js';
 
 /** How long a follower's watch waits at the state store for events, in milliseconds. */
@@ -35,36 +36,6 @@
  */
 const ENDED_RETENTION_MS = 300_000;
 
-/** The parts of a job's record that responses to users depend on. */
-export interface JobSummary {
-  readonly id: JobId;
-  readonly state: JobState;
-  /** The term in which the leader first permitted a start of its tasks. 0 if none was permitted yet. */
-  readonly startTerm: number;
-  /** Number of tasks whose completion is stored. */
-  readonly doneTasks: number;
-}
-
-/** What a controller knows of a job's record. */
-export type CachedJob = JobSummary & {
-  /** The version of its key at which the record was read. */
-  readonly version: Revision;
-  /** When this controller learned of the version. */
-  readonly knownSince: MonotonicTime;
-} & (
-    | { readonly state: 'accepted' | 'cancelled'; readonly record: JobRecord }
-    // Nothing else of a job is needed once it is done.
-    | { readonly state: 'done'; readonly record: null }
-  );
-
-/** Returns the summary of a job with this record. */
-export const summaryOf = ({ spec, state, startTerm, done }: JobRecord): JobSummary => ({
-  id: spec.id,
-  state,
-  startTerm,
-  doneTasks: done.count,
-});
-
 /** How far a read of all records has come. */
 interface ReadProgress {
   /** The records are as of this revision or later. */
@@ -306,13 +277,3 @@
     return job;
   }
 }
-
-function cachedJob(record: JobRecord, version: Revision, knownSince: MonotonicTime): CachedJob {
-  const { state } = record;
-  const known = { ...summaryOf(record), version, knownSince };
-  return state === 'done' ? { ...known, state, record: null } : { ...known, state, record };
-}
-
-/** Returns whether the job has ended and none of its tasks can be on a machine. */
-const hasNoTasks = ({ state, startTerm }: JobRecord): boolean =>
-  state === 'done' || (state === 'cancelled' && startTerm === 0);
--- a/src/core/requests/job_cancellation.ts
+++ b/src/core/requests/job_cancellation.ts
@@ -1,5 +1,6 @@
 /** Persists the cancellation of a job, and notifies the leader before the user receives the confirmation. */
-import { type CachedJob, type JobCache, type JobSummary, summaryOf } from '../jobs/job_cache.js';
+import { type CachedJob, type JobSummary, summaryOf } from '../jobs/cached_job.js';
+import type { JobCache } from '../jobs/job_cache.js';
 import { type StateStoreResultOf, wasNotExecuted } from '../messages.js';
 import { encodeJob, type JobRecord, jobKey } from '../records.js';
 import type { StepContext } from '../step_context.js';
--- a/src/core/requests/job_reader.ts
+++ b/src/core/requests/job_reader.ts
@@ -1,5 +1,6 @@
 /** Reads single job records from the state store, and converts them into responses to users. */
-import type { CachedJob, JobCache, JobSummary } from '../jobs/job_cache.js';
+import type { CachedJob, JobSummary } from '../jobs/cached_job.js';
+import type { JobCache } from '../jobs/job_cache.js';
 import type { JobStatus, TaskCounts, UserResponse } from '../messages.js';
 import { jobKey } from '../records.js';
 import type { StepContext } from '../step_context.js';
--- a/src/core/requests/linearizable_reads.ts
+++ b/src/core/requests/linearizable_reads.ts
@@ -1,5 +1,6 @@
 /** Linearizable reads of cached job records. One call to the state store confirms many of them. */
-import type { CachedJob, JobCache } from '../jobs/job_cache.js';
+import type { CachedJob } from '../jobs/cached_job.js';
+import type { JobCache } from '../jobs/job_cache.js';
 import type { StateStoreResultOf } from '../messages.js';
 import { JOB_PREFIX, jobKey } from '../records.js';
 import type { StepContext } from '../step_context.js';
--- a/src/core/scheduler/long_waits.ts
+++ b/src/core/scheduler/long_waits.ts
@@ -30,8 +30,8 @@
 
 /** Starts the jobs of one leader that have been waiting for `MAX_WAIT_WITH_ROOM_MS` although there is room for them. */
 export class LongWaits {
-  /** If the last call ended at its limit: the wait with which it ended. */
-  private resumeAfter: MonotonicTime | null = null;
+  /** If the last call ended at its limit: the last job that it tried to start. */
+  private resumeAfter: DueJob | null = null;
 
   constructor(private readonly cluster: SchedulableCluster) {}
 
@@ -49,13 +49,13 @@
     let jobs = 0;
     let tasks = 0;
     let replicas = 0;
-    for (const { job, since } of due) {
-      const started = startNow(cluster, capacity, job);
+    for (const next of due) {
+      const started = startNow(cluster, capacity, next.job);
       if (started > 0) jobs += 1;
       tasks += started;
-      if (job.isService) replicas += started;
+      if (next.job.isService) replicas += started;
       if (capacity.steps < stepLimit) continue;
-      this.resumeAfter = since;
+      this.resumeAfter = next;
       break;
     }
     const { steps } = capacity;
@@ -64,13 +64,18 @@
   }
 }
 
-/** Returns the jobs with the longest wait first. Those that began to wait after `resumeAfter` precede all others. */
-function inOrder(due: readonly DueJob[], resumeAfter: MonotonicTime | null): DueJob[] {
-  const sorted = [...due].sort((first, second) => first.since - second.since);
+/** Returns the jobs with the longest wait first. Those that follow `resumeAfter` in this order precede all others. */
+function inOrder(due: readonly DueJob[], resumeAfter: DueJob | null): DueJob[] {
+  const sorted = [...due].sort(compareWaits);
   if (resumeAfter === null) return sorted;
-  return [...sorted.filter(({ since }) => since > resumeAfter), ...sorted.filter(({ since }) => since <= resumeAfter)];
+  const next = sorted.findIndex((job) => compareWaits(job, resumeAfter) > 0);
+  return next < 0 ? sorted : [...sorted.slice(next), ...sorted.slice(0, next)];
 }
 
+/** Orders jobs by wait, the longest first. The id breaks ties, as many jobs may become known at the same time. */
+const compareWaits = (first: DueJob, second: DueJob): number =>
+  first.since - second.since || (first.job.id < second.job.id ? -1 : Number(first.job.id > second.job.id));
+
 /**
  * Updates since when each job has been waiting although there is room for it. Returns those for which this is too long.
  * After `maxSteps` plan steps, room for one task of a gang counts as room for the gang.
--- a/test/core/scheduler/gang_reservation.test.ts
+++ b/test/core/scheduler/gang_reservation.test.ts
@@ -4,29 +4,16 @@
 import { RangeSet } from '../../../src/core/jobs/range_set.js';
 import { applyReservations } from '../../../src/core/scheduler/apply.js';
 import { findOverdueGangReservations } from '../../../src/core/scheduler/gang_reservation.js';
-import type { Settings } from '../../../src/core/settings.js';
-import { Cluster } from '../../../src/core/state/cluster.js';
-import { StepContext } from '../../../src/core/step_context.js';
-import type { ClockReading, JobId, MonotonicTime, WallClockTime } from '../../../src/core/types.js';
+import type { JobId, MonotonicTime, WallClockTime } from '../../../src/core/types.js';
 import { revision } from '../../../src/core/types.js';
-import { CURRENT_BUILD } from '../../sim/build.js';
 import { makeJobSpec } from '../../sim/job_options.js';
+import { makeCluster } from '../../support/cluster_fixtures.js';
 import { makeMachine } from '../../support/machine_fixtures.js';
 
 describe('gang reservation', () => {
   test('reserves the planned machines of only the longest overdue gang in a zone', () => {
-    const now: ClockReading = { monotonic: 500_000 as MonotonicTime, wallClock: 1_790_000_000_000 as WallClockTime };
-    const stateStore = {
-      requestsPerSecond: 10,
-      writesPerSecond: 10,
-      announcedRequestsPerSecond: 10,
-      announcedWritesPerSecond: 10,
-      maxValueBytes: 8192,
-      maxChangesPerTransaction: 8,
-    };
-    const cloud = { requestsPerSecond: 5, listStalenessMs: 0 };
-    const settings = { controllerCount: 1, teamQuotas: [], stateStore, cloud } as unknown as Settings;
-    const cluster = new Cluster(new StepContext(settings, CURRENT_BUILD.tuning, now), 1);
+    const { cluster } = makeCluster();
+    const { now } = cluster.context;
     const gang = (id: string, waitedSeconds: number): Job => {
       const spec = { ...makeJobSpec(id, 'gang', { tasks: '2', gpus: '4' }) };
       const submittedAt = (now.wallClock - waitedSeconds * 1000) as WallClockTime;
--- a/test/core/scheduler/long_waits.test.ts
+++ b/test/core/scheduler/long_waits.test.ts
@@ -2,6 +2,7 @@
 import { describe, test } from 'node:test';
 import fc from 'fast-check';
 import type { Job } from '../../../src/core/jobs/job.js';
+import type { Machine } from '../../../src/core/machines/machine.js';
 import { FreeCapacity } from '../../../src/core/scheduler/free_capacity.js';
 import { LongWaits } from '../../../src/core/scheduler/long_waits.js';
 import type { Cluster } from '../../../src/core/state/cluster.js';
@@ -30,6 +31,13 @@
   return job;
 }
 
+/** Lets the job fail on each of the machines, which it avoids from then on. Others have failed there, too. */
+function failOn(machines: readonly Machine[], job: Job, now: MonotonicTime): void {
+  for (const { id } of machines) {
+    job.failureHistory.recordFailure(id, { placedAt: now, ranMs: 0, now, machineSuspected: true });
+  }
+}
+
 /** Adds a machine. Most have no free cores or no free GPUs, so that little work fits. */
 function addLargelyOccupiedMachine(cluster: Cluster, i: number): void {
   addMachine(cluster, `i-${i}`, i % 2 === 0 ? C8 : G4, i % 3 === 0 ? 'a' : 'b');
@@ -74,6 +82,24 @@
     assert.equal(straggler.cordon.isDraining, false);
   });
 
+  test('goes on behind the last job tried, so that jobs that cannot be started do not use up the steps of each call', () => {
+    const world = makeCluster();
+    const { cluster, context } = world;
+    const longWaits = new LongWaits(cluster);
+    const machines = Array.from({ length: 64 }, (_, i) => addMachine(cluster, `i-${i}`, C8, 'a'));
+    const ids = Array.from({ length: 40 }, (_, i) => `job-${100 + i}`);
+    const jobs = ids.map((id) => addJob(cluster, makeJobSpec(id, 'array', {})));
+    const last = jobs.at(-1);
+    const rounds = 60;
+    for (let round = 0; round < rounds && last?.placedCount === 0; round++) {
+      for (const job of jobs.slice(0, -1)) failOn(machines, job, context.now.monotonic);
+      longWaits.startDueJobs(4);
+      advance(world, ROUND_MS);
+    }
+    assert.equal(last?.placedCount, 1);
+    assert.ok(jobs.slice(0, -1).every(({ placedCount }) => placedCount === 0));
+  });
+
   test('looks at a bounded number of machines a call, and starts all of very many jobs in turn', () => {
     const world = makeCluster();
     const { cluster } = world;
