A wait with room ends when a task runs, not when it is placed

Cause: the placement ended the time. Change: a task that runs does, or an exit that shows that one ran. A job that is preempted before that starts again in the next round.

--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -188,7 +188,6 @@
   /** Called when a placement of the task is added. */
   onTaskPlaced(index: number): void {
     this.placedTasks.add(index);
-    this.waitWithRoom.end();
   }
 
   /** Called when the placement of the task is removed. */
--- a/src/core/jobs/wait_with_room.ts
+++ b/src/core/jobs/wait_with_room.ts
@@ -29,7 +29,10 @@
     if (now - this.noRoomSince >= MAX_INTERRUPTION_MS) this.begunAt = null;
   }
 
-  /** Ends the wait, because a task of the job was placed. */
+  /**
+   * Ends the wait, because a task of the job has begun to run. A placement alone does not end it, nor an image pull: the
+   * task may be preempted before it runs.
+   */
   end(): void {
     this.begunAt = null;
     this.noRoomSince = null;
--- a/src/core/workers/status_reconciliation.ts
+++ b/src/core/workers/status_reconciliation.ts
@@ -183,7 +183,9 @@
     const startsRunning = placement.recordPhase(task.phase, now);
     if (task.phase === 'pulling') machine.images.onPulling(job.spec, hasJustStarted, now);
     else machine.images.onPresent(job.spec, now);
-    if (startsRunning) logRunning(cluster, placement);
+    if (!startsRunning) return;
+    job.waitWithRoom.end();
+    logRunning(cluster, placement);
   }
 
   /**
--- a/src/core/workers/task_exits.ts
+++ b/src/core/workers/task_exits.ts
@@ -36,12 +36,17 @@
   if (!job) return 'noPlacement';
   if (hasResult) recordResult(cluster, machine, job, task, placement);
   if (!placement) return 'noPlacement';
+  if (placement.runningSince !== null || hasRunBefore(task)) job.waitWithRoom.end();
   if (job.isService) recordReplicaExit(cluster, placement, task);
   else if (!hasResult) recordFailure(cluster, placement, task);
   cluster.placements.release(placement, 'exited');
   return 'placementReleased';
 }
 
+/** Returns whether the exit shows that the task had run, also if no status showed it running. */
+const hasRunBefore = ({ exitReason }: TaskStatus): boolean =>
+  exitReason === 'done' || exitReason === 'error' || exitReason === 'gang_member_lost';
+
 /**
  * Processes the exit of a task that has no placement, because it exited while there was no leader or its job is
  * unknown. A failure counts once, as it would have at the time of the exit.
--- a/test/core/scheduler/long_waits.test.ts
+++ b/test/core/scheduler/long_waits.test.ts
@@ -63,6 +63,23 @@
     assert.deepEqual([fitting.placedCount, tooLarge.placedCount, gang.placedCount], [2, 0, 0]);
   });
 
+  test('goes on counting if a placement is released before its task has started', () => {
+    const world = makeCluster();
+    const { cluster } = world;
+    const longWaits = new LongWaits(cluster);
+    const machine = addMachine(cluster, 'i-0', C8, 'a');
+    const job = addJob(cluster, makeJobSpec('job-1', 'array', { cpus: '8' }));
+    for (let ms = 0; ms <= 60_000; ms += ROUND_MS) {
+      longWaits.startDueJobs(UNBOUNDED_STEPS);
+      advance(world, ROUND_MS);
+    }
+    const placement = cluster.placements.find(machine, job.id, 0);
+    assert.ok(placement);
+    cluster.placements.release(placement, 'startNotSent');
+    longWaits.startDueJobs(UNBOUNDED_STEPS);
+    assert.equal(job.placedCount, 1);
+  });
+
   test('uses a machine that is reserved for another job, and one that is drained as a straggler last of all', () => {
     const world = makeCluster();
     const { cluster, context } = world;
--- a/test/crowded_days.test.ts
+++ b/test/crowded_days.test.ts
@@ -4,11 +4,12 @@
 import { CURRENT_BUILD } from './sim/build.js';
 import { type JobOptions, makeJobSpec } from './sim/job_options.js';
 import { C8, G4 } from './sim/machine_types.js';
+import { events } from './sim/scenario/events/index.js';
 import { World } from './sim/world.js';
 
 /*
  * Days without faults in which a crowd of jobs has no room and other jobs wait behind it, while the owners' estimates
- * of run times are wrong by half. The cloud has no further machines. The environment variables SEED_FROM and SEEDS
+ * of run times are wrong by half. On every third day, a machine becomes slow. The cloud has no further machines. The environment variables SEED_FROM and SEEDS
  * select the first seed and the number of seeds.
  */
 
@@ -34,10 +35,12 @@
 
 class CrowdedDay {
   readonly world: World;
+  private readonly hasSlowMachine: boolean;
   private jobCount = 0;
 
   constructor(seed: number) {
     const machines = 3 + (seed % 5);
+    this.hasSlowMachine = seed % 3 === 0;
     this.world = new World({
       seed,
       controllers: 3,
@@ -57,6 +60,7 @@
     const { world } = this;
     const { clock } = world;
     world.startControllers();
+    if (this.hasSlowMachine) clock.schedule(20_000, () => events['slow-machine']?.(world, ['busy']));
     for (let i = 0; i < 6; i++) this.submitAt(clock.randomBetween(1, 4), 'array', this.longWork());
     const obstacle = clock.pickRandom(OBSTACLES);
     for (let i = 0; i < CROWD_JOBS; i++) this.submitAt(clock.randomBetween(8, 40), 'array', this.crowdJob(obstacle));
--- a/test/sim/idle_capacity.ts
+++ b/test/sim/idle_capacity.ts
@@ -72,8 +72,7 @@
   }
 
   private tasksThatFit(worker: SimulatedWorker, spec: JobSpec): number {
-    if (!worker.isAlive || worker.isHung || worker.failsTasks || worker.speed < 1 || worker.interruptionAt !== null)
-      return 0;
+    if (!worker.isAlive || worker.isHung || worker.failsTasks || worker.interruptionAt !== null) return 0;
     if ((worker.spot && !spec.toleratesSpot) || (spec.zone !== null && spec.zone !== worker.zone)) return 0;
     if (spec.allowedMachineTypes !== null && !spec.allowedMachineTypes.includes(worker.type.name)) return 0;
     let { cpus, gpus, memoryGb } = worker.type;
