--- a/src/core/jobs/cached_job.ts
+++ b/src/core/jobs/cached_job.ts
@@ -24,6 +24,9 @@
     | { readonly state: 'done'; readonly record: null }
   );
 
+/** A job of which tasks may be on machines. */
+export type CachedJobWithTasks = Extract<CachedJob, { readonly record: JobRecord }>;
+
 /** Returns the summary of a job with this record. */
 export const summaryOf = ({ spec, state, startTerm, done }: JobRecord): JobSummary => ({
   id: spec.id,
--- a/src/core/jobs/job_cache.ts
+++ b/src/core/jobs/job_cache.ts
@@ -7,7 +7,7 @@
 import type { StepContext } from '../step_context.js';
 import type { Timer } from '../timers.js';
 import { addMilliseconds, type JobId, type MonotonicTime, type Revision } from '../types.js';
-import { type CachedJob, cachedJob, hasNoTasks } from './cached_job.js';
+import { type CachedJob, type CachedJobWithTasks, cachedJob, hasNoTasks } from './cached_job.js';
 import { ImageUsage } from './image_usage.js';
 
 /** How long a follower's watch waits at the state store for events, in milliseconds. */
@@ -105,9 +105,10 @@
   }
 
   /** Returns the jobs of which tasks may be on machines, in no particular order. */
-  *jobsWithTasks(): Iterable<CachedJob> {
-    yield* this.accepted.values();
-    for (const job of this.ended.values()) if (job.state === 'cancelled') yield job;
+  *jobsWithTasks(): Iterable<CachedJobWithTasks> {
+    for (const jobs of [this.accepted.values(), this.ended.values()]) {
+      for (const job of jobs) if (job.state !== 'done') yield job;
+    }
   }
 
   /** Number of known jobs. */
--- a/src/core/leadership/state_restorer.ts
+++ b/src/core/leadership/state_restorer.ts
@@ -24,9 +24,7 @@
   restore(pages: readonly StoredEntry[]): void {
     const { context, previousTerms, machines } = this.cluster;
     this.cluster.jobs.setUnreadable(this.jobCache.unreadableJobs);
-    for (const { record, version } of this.jobCache.jobsWithTasks()) {
-      if (record !== null) this.cluster.applyJobRecord(record, version);
-    }
+    for (const { record, version } of this.jobCache.jobsWithTasks()) this.cluster.applyJobRecord(record, version);
     for (const item of pages) this.restorePage(item);
     this.registry.splitOversizedPages();
     const unreadableJobs = this.jobCache.unreadableJobs.size;
--- a/src/core/machines/allocations.ts
+++ b/src/core/machines/allocations.ts
@@ -37,6 +37,12 @@
     return this.memoryGb;
   }
 
+  /** The amounts that are not allocated. */
+  get free(): Resources {
+    const { cpus, gpus, memoryGb } = this.type;
+    return { cpus: cpus - this.cpus, gpus: gpus - this.gpus, memoryGb: memoryGb - this.memoryGb };
+  }
+
   /** The time since which no task has been allocated. Meaningless while a task is allocated. */
   get idleSince(): MonotonicTime {
     return this.emptySince;
--- a/src/core/machines/cordon.ts
+++ b/src/core/machines/cordon.ts
@@ -49,9 +49,11 @@
     return this.interruptionTime !== null || this.quarantineEndsAt > now;
   }
 
-  /** Ends the drain of a straggler, which may get new tasks again. */
-  undrainStraggler(): void {
-    if (this.reason === 'straggler') this.reason = null;
+  /** Ends the drain of a straggler, which may get new tasks again. Returns whether it was drained as one. */
+  undrainStraggler(): boolean {
+    if (this.reason !== 'straggler') return false;
+    this.reason = null;
+    return true;
   }
 
   /** Whether tasks should leave the machine: it is draining or has an interruption notice. */
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -170,12 +170,13 @@
  * has come into force, the texts of its spec are left out, so that its end can be stored.
  */
 export function encodeJob(record: JobRecord, valueBytes: number): StoredJob {
+  const { state, done } = record;
   const value = encodeWithoutDone(record, encodeSpec(record.spec));
-  if (record.state === 'accepted' && record.done.count === 0) return value;
-  const maxBytes = valueBytes - SPARE_BYTES;
-  const isTooLong = record.state !== 'accepted' && storedBytes(value) > maxBytes;
-  const shortened = isTooLong ? encodeWithoutDone(record, withoutTexts(value.spec)) : value;
-  return { ...shortened, done: record.done.pairs(maxBytes - storedBytes(shortened)) };
+  if (state === 'accepted' && done.count === 0) return value;
+  const bytesLeft = valueBytes - SPARE_BYTES - storedBytes(value);
+  if (state === 'accepted' || bytesLeft >= 0) return { ...value, done: done.pairs(bytesLeft) };
+  const shortened = encodeWithoutDone(record, withoutTexts(value.spec));
+  return { ...shortened, done: done.pairs(valueBytes - SPARE_BYTES - storedBytes(shortened)) };
 }
 
 function encodeWithoutDone(record: JobRecord, spec: StoredFields): StoredJob {
--- a/src/core/scheduler/apply.ts
+++ b/src/core/scheduler/apply.ts
@@ -175,7 +175,6 @@
  * jobs that it ran may have been too low. Does nothing for other machines.
  */
 export function applyUndrain(cluster: SchedulableCluster, machine: Machine): void {
-  if (machine.cordon.drainReason !== 'straggler') return;
-  machine.cordon.undrainStraggler();
+  if (!machine.cordon.undrainStraggler()) return;
   cluster.context.log('straggler put back into service', { machine: machine.id });
 }
--- a/src/core/scheduler/eviction.ts
+++ b/src/core/scheduler/eviction.ts
@@ -4,7 +4,7 @@
  */
 import type { Job } from '../jobs/job.js';
 import type { Machine } from '../machines/machine.js';
-import { RESOURCE_TOLERANCE } from '../resource_amounts.js';
+import { fitsInto } from '../resource_amounts.js';
 import type { Placement } from '../state/placement.js';
 import type { ClusterState } from './cluster_state.js';
 import type { Eviction } from './decisions.js';
@@ -30,15 +30,9 @@
 export function findEviction(cluster: ClusterState, job: Job, machine: Machine): Eviction | null {
   if (!mayEvictOn(cluster, job, machine)) return null;
   const { spec } = job;
-  const { type } = machine;
   const now = cluster.context.now.monotonic;
-  let freeCpus = type.cpus - machine.allocations.usedCpus;
-  let freeGpus = type.gpus - machine.allocations.usedGpus;
-  let freeMemoryGb = type.memoryGb - machine.allocations.usedMemoryGb;
-  const fits = (): boolean =>
-    freeCpus + RESOURCE_TOLERANCE >= spec.cpus &&
-    freeGpus + RESOURCE_TOLERANCE >= spec.gpus &&
-    freeMemoryGb + RESOURCE_TOLERANCE >= spec.memoryGb;
+  let { cpus, gpus, memoryGb } = machine.allocations.free;
+  const fits = (): boolean => fitsInto({ cpus, gpus, memoryGb }, spec);
   const pullSeconds = machine.images.remainingPullSeconds(spec.image, spec.imageGb, now);
   let cost = pullSeconds * gpuEquivalent(spec.gpus);
   const victims: Placement[] = [];
@@ -47,9 +41,9 @@
     const freed = placement.job.spec;
     victims.push(placement);
     cost += lostGpuSeconds;
-    freeCpus += freed.cpus;
-    freeGpus += freed.gpus;
-    freeMemoryGb += freed.memoryGb;
+    cpus += freed.cpus;
+    gpus += freed.gpus;
+    memoryGb += freed.memoryGb;
   }
   return fits() ? { machine, victims, cost } : null;
 }
--- a/src/core/scheduler/free_capacity.ts
+++ b/src/core/scheduler/free_capacity.ts
@@ -2,11 +2,11 @@
 import type { Job } from '../jobs/job.js';
 import { type CapacityPool, capacityPoolKey } from '../machines/capacity_pool.js';
 import type { Machine } from '../machines/machine.js';
-import { countFitting, RESOURCE_TOLERANCE } from '../resource_amounts.js';
-import type { Resources } from '../types.js';
+import { countFitting, fitsInto } from '../resource_amounts.js';
+import type { MonotonicTime, Resources } from '../types.js';
 import type { ClusterState } from './cluster_state.js';
 import { isFeasibleType, isInBoundZone } from './placement_constraints.js';
-import { hasZoneAllowance, type ZoneAllowance, zoneAllowance } from './zone_allowance.js';
+import { hasZoneAllowance, useZoneAllowance, type ZoneAllowance, zoneAllowance } from './zone_allowance.js';
 
 /** Number of machines looked at that count as one plan step. Only their free amounts are compared. */
 const MACHINES_PER_STEP = 16;
@@ -20,6 +20,9 @@
 /** Returns whether a job may use a machine, apart from its type, zone and capacity. */
 type MachineFilter = (machine: Machine) => boolean;
 
+/** Returns whether a machine may get new tasks now. */
+type SchedulableCheck = (machine: Machine, now: MonotonicTime, heartbeatIntervalMs: number) => boolean;
+
 /** A machine with room for a task. A lower unsuitability is better. */
 interface MachineOffer {
   readonly machine: Machine;
@@ -48,27 +51,23 @@
 
   private constructor(
     private readonly cluster: ClusterState,
-    machines: readonly Machine[],
+    mayGetTasks: SchedulableCheck,
   ) {
-    this.pools = groupByPool(machines);
+    const { now, settings } = cluster.context;
+    const { heartbeatIntervalMs } = settings.workers;
+    const machines = [...cluster.machines.values()];
+    this.pools = groupByPool(machines.filter((machine) => mayGetTasks(machine, now.monotonic, heartbeatIntervalMs)));
     for (const pool of this.pools) this.summarize(pool);
   }
 
   /** Returns the free capacity of all schedulable machines. */
   static ofSchedulable(cluster: ClusterState): FreeCapacity {
-    const { now, settings } = cluster.context;
-    const { heartbeatIntervalMs } = settings.workers;
-    const isSchedulable = (machine: Machine): boolean => machine.isSchedulable(now.monotonic, heartbeatIntervalMs);
-    return new FreeCapacity(cluster, [...cluster.machines.values()].filter(isSchedulable));
+    return new FreeCapacity(cluster, (machine, ...time) => machine.isSchedulable(...time));
   }
 
   /** Returns the free capacity of all machines that are schedulable or could be, as a last resort. */
   static ofLastResort(cluster: ClusterState): FreeCapacity {
-    const { now, settings } = cluster.context;
-    const { heartbeatIntervalMs } = settings.workers;
-    const isUsable = (machine: Machine): boolean =>
-      machine.isSchedulableAsLastResort(now.monotonic, heartbeatIntervalMs);
-    return new FreeCapacity(cluster, [...cluster.machines.values()].filter(isUsable));
+    return new FreeCapacity(cluster, (machine, ...time) => machine.isSchedulableAsLastResort(...time));
   }
 
   /** Plan steps spent so far. */
@@ -147,7 +146,7 @@
         if (!mayUse(machine)) continue;
         const allowed = allowance?.get(pool.zone) ?? taskCount;
         const tasks = Math.min(tasksFittingNow(machine, job.spec), allowed, taskCount - chosen.length);
-        allowance?.set(pool.zone, allowed - tasks);
+        useZoneAllowance(allowance, pool.zone, job, tasks);
         for (let task = 0; task < tasks; task++) chosen.push(machine);
         if (chosen.length >= taskCount) return chosen;
       }
@@ -162,7 +161,7 @@
   private mayHaveRoom(pool: FreePool, job: Job, allowance: ZoneAllowance): boolean {
     const { spec } = job;
     return (
-      pool.largest.some((free) => fits(free, spec)) &&
+      pool.largest.some((free) => fitsInto(free, spec)) &&
       (spec.toleratesSpot || !pool.spot) &&
       isFeasibleType(job, pool.type, pool.zone) &&
       isInBoundZone(this.cluster, job, pool.zone) &&
@@ -195,9 +194,9 @@
     pool.largest = [];
     this.machinesLookedAt += pool.machines.length;
     for (const machine of pool.machines) {
-      const free = freeResources(machine);
-      if (pool.largest.some((other) => fits(other, free))) continue;
-      pool.largest = pool.largest.filter((other) => !fits(free, other));
+      const { free } = machine.allocations;
+      if (pool.largest.some((other) => fitsInto(other, free))) continue;
+      pool.largest = pool.largest.filter((other) => !fitsInto(free, other));
       pool.largest.push(free);
     }
   }
@@ -215,23 +214,12 @@
   return [...pools.values()];
 }
 
-const freeResources = ({ type, allocations }: Machine): Resources => ({
-  cpus: type.cpus - allocations.usedCpus,
-  gpus: type.gpus - allocations.usedGpus,
-  memoryGb: type.memoryGb - allocations.usedMemoryGb,
-});
-
 /** Returns how many tasks with this demand fit into the free capacity of the machine now. */
 function tasksFittingNow(machine: Machine, task: Resources): number {
-  const free = freeResources(machine);
+  const { free } = machine.allocations;
   return Math.min(
     countFitting(free.cpus, task.cpus),
     countFitting(free.gpus, task.gpus),
     countFitting(free.memoryGb, task.memoryGb),
   );
 }
-
-const fits = (free: Resources, task: Resources): boolean =>
-  free.cpus + RESOURCE_TOLERANCE >= task.cpus &&
-  free.gpus + RESOURCE_TOLERANCE >= task.gpus &&
-  free.memoryGb + RESOURCE_TOLERANCE >= task.memoryGb;
--- a/src/core/scheduler/long_waits.ts
+++ b/src/core/scheduler/long_waits.ts
@@ -8,6 +8,7 @@
 import { applyArrayStart, applyGangStart, applyReplicaStart, applyUndrain } from './apply.js';
 import type { ClusterState, SchedulableCluster } from './cluster_state.js';
 import { FreeCapacity } from './free_capacity.js';
+import { hasStartableTasks } from './placement_constraints.js';
 import { UNPENALIZED_ARRAY_TASKS } from './ranking.js';
 
 /**
@@ -86,7 +87,7 @@
   const due: DueJob[] = [];
   for (const job of cluster.jobs.active) {
     // While a job may not start for another reason, its time goes on.
-    if (!isWaiting(job) || !mayStartNow(cluster, job)) continue;
+    if (!isWaiting(job) || !hasStartableTasks(cluster, job)) continue;
     const { waitWithRoom } = job;
     if (!hasRoom(cluster, capacity, job, capacity.steps < gangStepLimit)) {
       waitWithRoom.recordNoRoom(now);
@@ -102,10 +103,6 @@
 /** Returns whether the job, or a replica of a service, is waiting. A job with a task on a machine is not. */
 const isWaiting = (job: Job): boolean => job.pendingCount > 0 && (job.isService || job.placedCount === 0);
 
-function mayStartNow({ context, previousTerms }: ClusterState, job: Job): boolean {
-  return !job.retries.isDelayed(context.now.monotonic) && previousTerms.startableTaskCount(job) > 0;
-}
-
 /** Returns whether machines and the team's quota have room for a task of the job, or for all tasks of a gang. */
 function hasRoom(cluster: ClusterState, capacity: FreeCapacity, job: Job, countsGangTasks: boolean): boolean {
   const requiredTasks = job.isGang ? job.spec.taskCount : 1;
--- a/src/core/scheduler/machine_snapshot.ts
+++ b/src/core/scheduler/machine_snapshot.ts
@@ -45,9 +45,10 @@
 /** Returns the capacity that is free on a machine now and after the expected end of each of its tasks (Eq. (13)). */
 function capacityTimeline(cluster: ClusterState, machine: Machine): CapacityTimeline {
   const stepTimesSeconds = [machine.phase === 'booting' ? remainingBootSeconds(cluster, machine) : 0];
-  const freeCpus = [machine.type.cpus - machine.allocations.usedCpus];
-  const freeGpus = [machine.type.gpus - machine.allocations.usedGpus];
-  const freeMemoryGb = [machine.type.memoryGb - machine.allocations.usedMemoryGb];
+  const { free } = machine.allocations;
+  const freeCpus = [free.cpus];
+  const freeGpus = [free.gpus];
+  const freeMemoryGb = [free.memoryGb];
   for (const { atSeconds, placement } of expectedEnds(cluster, machine)) {
     const { spec } = placement.job;
     let step = stepTimesSeconds.length - 1;
--- a/src/core/scheduler/placement_constraints.ts
+++ b/src/core/scheduler/placement_constraints.ts
@@ -22,6 +22,14 @@
   );
 }
 
+/**
+ * Returns whether tasks of the job wait that may start now: its retry delay has passed, and work left from previous
+ * terms does not prevent all starts. Quotas and capacity are not checked.
+ */
+export function hasStartableTasks({ context, previousTerms }: ClusterState, job: Job): boolean {
+  return !job.retries.isDelayed(context.now.monotonic) && previousTerms.startableTaskCount(job) > 0;
+}
+
 /** Returns whether a job requests no GPUs and fits a machine type without GPUs. */
 export function fitsTypesWithoutGpus({ machineTypes }: ClusterState, job: Job): boolean {
   if (job.spec.gpus > 0) return false;
--- a/src/core/scheduler/ranking.ts
+++ b/src/core/scheduler/ranking.ts
@@ -5,7 +5,7 @@
 import { pullSeconds } from '../machines/image_cache.js';
 import type { TeamName } from '../types.js';
 import type { ClusterState } from './cluster_state.js';
-import { isFeasibleType } from './placement_constraints.js';
+import { hasStartableTasks, isFeasibleType } from './placement_constraints.js';
 import { rankingScore, urgencyFactor } from './priority.js';
 import { teamsWithinGuarantee } from './team_guarantees.js';
 import { isOverdue, penaltyFactor, waitedSeconds } from './waiting_time.js';
@@ -56,7 +56,8 @@
   const teamsWithReservedQuota = new Set<TeamName>();
   const ranked: RankedJob[] = [];
   for (const job of cluster.jobs.active) {
-    if (!mayStartNow(cluster, job)) continue;
+    // Services are placed before the round, by best fit outside the search (service_placement.ts).
+    if (job.isService || job.pendingCount <= 0 || !hasStartableTasks(cluster, job)) continue;
     const waitingTasks = tasksWithinLimit(cluster, job);
     if (waitingTasks > 0) ranked.push(rankJob(cluster, job, waitingTasks, guaranteedTeams));
     else if (job.isGang && isOverdue(cluster, job)) teamsWithReservedQuota.add(job.spec.team);
@@ -69,16 +70,6 @@
     );
 }
 
-/**
- * Returns whether a job has waiting tasks that may start now: it is not a service, its retry delay has passed, and work
- * left from previous terms does not prevent the start. Quotas and capacity are not checked.
- */
-function mayStartNow(cluster: ClusterState, job: Job): boolean {
-  // Services are placed before the round, by best fit outside the search (service_placement.ts).
-  if (job.isService || job.pendingCount <= 0 || job.retries.isDelayed(cluster.context.now.monotonic)) return false;
-  return cluster.previousTerms.startableTaskCount(job) > 0;
-}
-
 /** Returns how many of the job's waiting tasks its team's limit allows now. For a gang this is all of them or none. */
 function tasksWithinLimit(cluster: ClusterState, job: Job): number {
   const maxTasks = Math.max(MIN_ARRAY_TASK_LIMIT, ARRAY_TASK_LIMIT_PER_MACHINE * cluster.machines.size);
